--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,31 @@
+"""Runs each scenario's steps on one loop and ends what the scenario started."""
+
+import asyncio
+import logging
+
+from loguru import logger
+
+
+def before_all(context):
+    logger.remove()
+    logging.getLogger("coap").setLevel(logging.CRITICAL)
+    logging.getLogger("coap-server").setLevel(logging.CRITICAL)
+
+
+def before_scenario(context, scenario):
+    context.loop = asyncio.new_event_loop()
+    context.site = None
+    context.feed_callers = []
+    context.sheet_callers = []
+
+
+def after_scenario(context, scenario):
+    if context.site is not None:
+        context.loop.run_until_complete(end_scenario(context))
+    context.loop.close()
+
+
+async def end_scenario(context):
+    for caller in (*context.feed_callers, *context.sheet_callers):
+        await caller.close()
+    await context.site.close()
--- /dev/null
+++ b/features/processes.py
@@ -0,0 +1,110 @@
+"""A deployment whose balancers and agents run as processes of their own."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import aiohttp
+
+from heatheryoke.daemons.settings import SETTINGS
+from heatheryoke.inventory.document import Address, Host, Role
+from heatheryoke.standins.site import Site
+
+START_TIMEOUT_S = 20.0
+
+
+def setting_text(value):
+    """Return a setting's value as an INI file has it."""
+    if isinstance(value, bytes):
+        return value.hex()
+    if isinstance(value, tuple) and not isinstance(value, Address):
+        return ", ".join(str(item) for item in value)
+    return value.isoformat() if hasattr(value, "isoformat") else str(value)
+
+
+class ProcessSite(Site):
+    """Starts each host's process from a settings file, and ends only those it started."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    def write_settings(self, host: Host) -> Path:
+        settings = self.settings(host)
+        sections: dict[str, list[str]] = {}
+        for row in SETTINGS:
+            value = getattr(settings, row.field)
+            if host.role in row.roles and value is not None:
+                line = f"{row.key} = {setting_text(value)}"
+                sections.setdefault(row.section, []).append(line)
+        path = Path(self.folder.name) / f"{host.name}.ini"
+        text = "\n".join("\n".join([f"[{section}]", *lines]) for section, lines in sections.items())
+        path.write_text(text)
+        return path
+
+    async def start_process(self, host: Host) -> None:
+        path = self.write_settings(host)
+        log = open(Path(self.folder.name) / f"{host.name}.log", "ab")  # noqa: SIM115
+        self.processes[host.name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "heatheryoke",
+            host.role.value,
+            str(path),
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        if host.role is Role.BALANCER:
+            self.fabric.balancers.append(self.fabric_listens[host.name])
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        os.kill(self.processes[name].pid, number)
+
+    async def kill(self, name: str) -> None:
+        self.send_signal(name, signal.SIGKILL)
+        await self.processes.pop(name).wait()
+
+    async def stop(self, name: str) -> int:
+        self.send_signal(name, signal.SIGTERM)
+        return await self.processes.pop(name).wait()
+
+    def hide_balancer(self, name: str) -> None:
+        self.fabric.balancers.remove(self.fabric_listens[name])
+
+    async def status(self, name: str) -> dict | None:
+        url = f"http://{self.status_addresses[name]}/status"
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2)) as session,
+                session.get(url) as response,
+            ):
+                return await response.json()
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+
+    async def wait_for_epoch(self, timeout_s: float = START_TIMEOUT_S) -> float:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        waiting = set(self.processes)
+        while waiting:
+            for name in list(waiting):
+                status = await self.status(name)
+                if status and status["epoch"] >= self.document.version:
+                    waiting.discard(name)
+            if loop.time() - began > timeout_s:
+                raise TimeoutError(f"epoch not in force at {sorted(waiting)}")
+            await asyncio.sleep(0.05)
+        return loop.time() - began
+
+    async def close(self) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        await super().close()
+        self.folder.cleanup()
--- /dev/null
+++ b/src/heatheryoke/cli.py
@@ -0,0 +1,277 @@
+"""The command line.
+
+Exit codes: 0 success; 1 a failure while running, or a broken promise; 2 settings, an inventory or
+arguments that cannot be used; 3 stopped at once by a second signal.
+"""
+
+import asyncio
+import json
+import sys
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated
+
+import aiohttp
+import typer
+from loguru import logger
+from returns.result import Failure
+from rich.console import Console
+from rich.table import Table
+
+from heatheryoke import __version__
+from heatheryoke.daemons.application import AgentApplication, Application, BalancerApplication
+from heatheryoke.daemons.settings import LogFormat, Settings, parse_address, read_settings
+from heatheryoke.daemons.status import FlowExplanation, Status
+from heatheryoke.inventory.checks import check_document
+from heatheryoke.inventory.document import Role, decode_document
+from heatheryoke.inventory.importer import import_inventory
+
+__all__ = ["main"]
+
+EXIT_FAILED = 1
+EXIT_UNUSABLE = 2
+STATUS_TIMEOUT_S = 5.0
+
+app = typer.Typer(no_args_is_help=True, rich_markup_mode=None, help=__doc__)
+inventory_app = typer.Typer(no_args_is_help=True, help="Import, check and compare inventories.")
+app.add_typer(inventory_app, name="inventory")
+console = Console()
+errors = Console(stderr=True)
+
+SettingsPath = Annotated[Path, typer.Argument(help="The daemon's settings (INI).")]
+StatusAddress = Annotated[str, typer.Argument(help="A process's status address, ip:port.")]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for programs.")]
+
+
+class RoleName(StrEnum):
+    """The role that a settings file is for."""
+
+    BALANCER = "balancer"
+    AGENT = "agent"
+
+
+APPLICATIONS: dict[Role, type[Application]] = {
+    Role.BALANCER: BalancerApplication,
+    Role.AGENT: AgentApplication,
+}
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+def _show_version(value: bool) -> None:
+    if value:
+        console.print(f"heatheryoke {__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def options(
+    version: Annotated[
+        bool, typer.Option("--version", callback=_show_version, is_eager=True)
+    ] = False,
+) -> None:
+    """A layer-4 load balancer whose flows are owned beside the upstreams that serve them."""
+
+
+@app.command()
+def balancer(settings: SettingsPath) -> None:
+    """Run a balancer. Example: heatheryoke balancer balancer-1.ini."""
+    _run_daemon(settings, Role.BALANCER)
+
+
+@app.command()
+def agent(settings: SettingsPath) -> None:
+    """Run an agent beside an upstream. Example: heatheryoke agent upstream-1.ini."""
+    _run_daemon(settings, Role.AGENT)
+
+
+@app.command()
+def check(
+    settings: SettingsPath,
+    role: Annotated[RoleName, typer.Option(help="The role that the file is for.")],
+) -> None:
+    """Check a settings file and open nothing. Example: heatheryoke check a.ini --role agent."""
+    _load_settings(settings, Role(role.value))
+    console.print(f"{settings}: valid")
+
+
+def _load_settings(path: Path, role: Role) -> Settings:
+    result = read_settings(path, role)
+    if isinstance(result, Failure):
+        _fail_unusable(result.failure())
+    return result.unwrap()
+
+
+def _fail_unusable(problems: tuple[object, ...]) -> None:
+    for problem in problems:
+        errors.print(str(problem), markup=False, highlight=False, soft_wrap=True)
+    raise typer.Exit(EXIT_UNUSABLE)
+
+
+def _run_daemon(path: Path, role: Role) -> None:
+    settings = _load_settings(path, role)
+    logger.remove()
+    as_json = settings.log_format is LogFormat.JSON
+    logger.add(sys.stderr, level=settings.log_level, serialize=as_json)
+    try:
+        code = asyncio.run(_run_application(settings, role))
+    except OSError as error:
+        errors.print(f"{path}: cannot open an address: {error}", markup=False)
+        code = EXIT_FAILED
+    raise typer.Exit(code)
+
+
+async def _run_application(settings: Settings, role: Role) -> int:
+    return await APPLICATIONS[role](settings).run()
+
+
+@inventory_app.command("import")
+def import_command(
+    assets: Annotated[Path, typer.Option(help="The asset register's CSV.")],
+    rules: Annotated[Path, typer.Option(help="The operators' rules (INI).")],
+    output: Annotated[Path, typer.Option(help="Where to write the document.")],
+) -> None:
+    """Write the document to publish, if all of it holds.
+
+    Example: heatheryoke inventory import --assets a.csv --rules r.ini --output inventory.bin
+    """
+    result = import_inventory(assets, rules)
+    if isinstance(result, Failure):
+        _fail_unusable(result.failure())
+    document, published = result.unwrap()
+    output.write_bytes(published)
+    console.print(
+        f"version {document.version}: {len(document.hosts)} hosts, "
+        f"{len(document.services)} services, {len(document.endpoints)} endpoints, "
+        f"{len(published)} bytes"
+    )
+
+
+@inventory_app.command("check")
+def check_inventory(
+    file: Annotated[Path, typer.Argument(help="A document written by the import.")],
+) -> None:
+    """Check a document. Example: heatheryoke inventory check inventory.bin."""
+    try:
+        decoded = decode_document(file.read_bytes())
+    except OSError as error:
+        _fail_unusable((error,))
+    if isinstance(decoded, Failure):
+        _fail_unusable((f"{file}: {decoded.failure()}",))
+    document = decoded.unwrap()
+    problems = check_document(document)
+    if problems:
+        _fail_unusable(tuple(f"{file}: {problem}" for problem in problems))
+    console.print(f"{file}: valid, version {document.version}")
+
+
+@inventory_app.command("in-force")
+def in_force(
+    addresses: Annotated[list[str], typer.Argument(help="Status addresses, ip:port each.")],
+) -> None:
+    """Compare the version in force in several processes; fail if they differ."""
+    versions: set[int | None] = set()
+    for address in addresses:
+        status = _fetch(address, "status")
+        versions.add(status["epoch"] if status else None)
+        console.print(f"{address}  {status['epoch'] if status else 'no answer'}")
+    if len(versions) > 1 or None in versions:
+        raise typer.Exit(EXIT_FAILED)
+
+
+@app.command()
+def status(address: StatusAddress, as_json: AsJson = False) -> None:
+    """Show what a process holds. Example: heatheryoke status 127.0.0.1:9100."""
+    found = _fetch_or_fail(address, "status")
+    if as_json:
+        sys.stdout.write(json.dumps(found) + "\n")
+        return
+    console.print(_status_table(found))
+    if found["upstreams"]:
+        console.print(_upstream_table(found))
+
+
+@app.command()
+def explain(
+    address: StatusAddress,
+    source: Annotated[str, typer.Argument(help="The caller's address, ip:port.")],
+    service: Annotated[str, typer.Argument(help="The service's address, ip:port.")],
+    as_json: AsJson = False,
+) -> None:
+    """Tell why a flow is where it is.
+
+    Example: heatheryoke explain 127.0.0.1:9100 192.0.2.7:5683 198.51.100.1:5683
+    """
+    found: FlowExplanation = _fetch_or_fail(address, "explain", source=source, service=service)
+    if as_json:
+        sys.stdout.write(json.dumps(found) + "\n")
+        return
+    for key, value in found.items():
+        console.print(f"{key:10} {', '.join(value) if isinstance(value, list) else value}")
+
+
+def _fetch_or_fail(address: str, path: str, **params: str) -> dict:
+    found = _fetch(address, path, **params)
+    if found is None:
+        errors.print(f"{address}: no answer")
+        raise typer.Exit(EXIT_FAILED)
+    return found
+
+
+def _fetch(address: str, path: str, **params: str) -> dict | None:
+    try:
+        checked = parse_address(address)
+    except ValueError as error:
+        _fail_unusable((f"{address}: {error}",))
+    return asyncio.run(_get(f"http://{checked}/{path}", params))
+
+
+async def _get(url: str, params: dict[str, str]) -> dict | None:
+    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url, params=params) as response,
+        ):
+            return await response.json()
+    except (aiohttp.ClientError, TimeoutError):
+        return None
+
+
+def _status_table(found: Status) -> Table:
+    table = Table("field", "value", title=f"{found['role']} {found['name']}")
+    for field in ("state", "epoch", "flows", "directory_entries", "hints"):
+        table.add_row(field, str(found[field]))
+    table.add_row("suspected", ", ".join(found["suspected"]) or "-")
+    for name, value in found["counters"].items():
+        table.add_row(name, str(value))
+    return table
+
+
+def _upstream_table(found: Status) -> Table:
+    columns = ("service", "state", "since_s", "limit", "slots", "running", "queued", "flows")
+    table = Table(*columns, "reason", title="upstreams")
+    for row in found["upstreams"]:
+        table.add_row(*(str(row[column]) for column in (*columns, "reason")))
+    return table
+
+
+@app.command()
+def demo(
+    deployment: Annotated[str, typer.Option(help="sundarban or sangam.")] = "sundarban",
+    seed: Annotated[int, typer.Option(help="Seed of the fabric and the callers.")] = 1,
+) -> None:
+    """Run a whole deployment on loopback for about 20 seconds, with changes while it runs.
+
+    Example: heatheryoke demo --deployment sangam
+    """
+    from heatheryoke.standins.demo import run_demo
+    from heatheryoke.standins.deployments import DEPLOYMENTS
+
+    if deployment not in DEPLOYMENTS:
+        _fail_unusable((f"unknown deployment {deployment!r}: {', '.join(DEPLOYMENTS)}",))
+    logger.remove()
+    raise typer.Exit(asyncio.run(run_demo(DEPLOYMENTS[deployment], seed, console)))
--- /dev/null
+++ b/src/heatheryoke/core/claims.py
@@ -0,0 +1,251 @@
+"""Claims: a non-idempotent request starts only once most of its witnesses have let it.
+
+A claim is a lease on a request id. `Witness` keeps the claims for which this host is a witness;
+`Claimant` gathers the majorities that this host needs before it runs a request.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+from heatheryoke.core.messages import (
+    ClaimRecord,
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+    ClaimVerdict,
+)
+
+__all__ = ["CLAIM_LIFETIME_S", "CLAIM_ROUND_S", "Claimant", "Outcome", "Round"]
+__all__ += ["Witness", "WitnessSets"]
+
+CLAIM_LIFETIME_S = 300.0
+CLAIM_ROUND_S = 1.0
+CLAIM_RESEND_S = 0.2
+RECOVERY_DELAY_S = 2 * CLAIM_ROUND_S
+
+
+class Held(NamedTuple):
+    """A claim that stands."""
+
+    runner: str
+    attempt: int
+    expires: float
+
+
+class Witness:
+    """Grants each request id to one runner for the lifetime of a claim.
+
+    After a start it grants nothing until the other witnesses' claims were read back, or until
+    every claim that it may have forgotten is over.
+    """
+
+    def __init__(self, host_name: str, started: float, lifetime_s: float = CLAIM_LIFETIME_S):
+        self.host_name = host_name
+        self.lifetime_s = lifetime_s
+        self.claims: dict[bytes, Held] = {}
+        self.recovering_until = started + lifetime_s
+
+    def is_recovering(self, now: float) -> bool:
+        """Tell whether claims may be missing."""
+        return now < self.recovering_until
+
+    def recovered(self, now: float) -> None:
+        """Note that every other witness's claims have been read back."""
+        self.recovering_until = min(self.recovering_until, now)
+
+    def ask(self, request: ClaimRequest, now: float) -> ClaimReply:
+        """Grant a claim, or name the one that stands."""
+        held = self.claims.get(request.request_id)
+        if held is not None and held.expires <= now:
+            held = None
+        same = held is not None and held[:2] == (request.runner, request.attempt)
+        if held is not None and not same and held.attempt != request.supersedes:
+            return self.reply(request, ClaimVerdict.HELD, held)
+        if held is None and self.is_recovering(now):
+            return self.reply(request, ClaimVerdict.RECOVERING, None)
+        held = Held(request.runner, request.attempt, now + self.lifetime_s)
+        self.claims.pop(request.request_id, None)
+        self.claims[request.request_id] = held
+        return self.reply(request, ClaimVerdict.GRANTED, held)
+
+    def reply(self, request: ClaimRequest, verdict: ClaimVerdict, held: Held | None) -> ClaimReply:
+        """Return a reply that names the claim that stands."""
+        holder, attempt = (held.runner, held.attempt) if held else ("", 0)
+        return ClaimReply(
+            request.request_id, self.host_name, request.attempt, verdict, holder, attempt
+        )
+
+    def release(self, release: ClaimRelease) -> None:
+        """Forget a claim whose attempt was never started."""
+        held = self.claims.get(release.request_id)
+        if held is not None and held.attempt == release.attempt:
+            del self.claims[release.request_id]
+
+    def restore(self, record: ClaimRecord, now: float) -> None:
+        """Take back a claim that another witness remembers."""
+        if record.request_id not in self.claims and record.remaining_s > 0:
+            expires = now + record.remaining_s
+            self.claims[record.request_id] = Held(record.runner, record.attempt, expires)
+
+    def records(self, now: float) -> list[ClaimRecord]:
+        """Return the claims that stand, for a witness that lost its own."""
+        return [
+            ClaimRecord(request_id, held.runner, held.attempt, held.expires - now)
+            for request_id, held in self.claims.items()
+            if held.expires > now
+        ]
+
+    def expire(self, now: float, limit: int) -> int:
+        """Drop claims that are over, oldest first; return how many were dropped."""
+        dropped = 0
+        while self.claims and dropped < limit:
+            request_id, held = next(iter(self.claims.items()))
+            if held.expires > now:
+                break
+            del self.claims[request_id]
+            dropped += 1
+        return dropped
+
+
+class WitnessSets(NamedTuple):
+    """The witnesses of a request id in every epoch in force during a claim's lifetime.
+
+    `history_from` is the first epoch that the claimant knows of, 0 if it knows all that count.
+    """
+
+    members: list[frozenset[str]]
+    history_from: int
+
+
+class Outcome(Enum):
+    """How a round of claims ended."""
+
+    GRANTED = "granted"
+    HELD = "held by another"
+    UNAVAILABLE = "no majority"
+
+
+class Round:
+    """One attempt to gather a majority of every witness set that counts."""
+
+    __slots__ = (
+        "attempt",
+        "granted",
+        "held_by",
+        "history_from",
+        "request_id",
+        "resend_at",
+        "sets",
+        "started",
+        "supersedes",
+    )
+
+    def __init__(
+        self,
+        request_id: bytes,
+        attempt: int,
+        sets: WitnessSets,
+        now: float,
+        supersedes: int,
+    ):
+        self.request_id = request_id
+        self.attempt = attempt
+        self.sets = sets.members
+        self.history_from = sets.history_from
+        self.supersedes = supersedes
+        self.started = now
+        self.resend_at = now + CLAIM_RESEND_S
+        self.granted: set[str] = set()
+        self.held_by: dict[str, tuple[str, int]] = {}
+
+    def witnesses(self) -> set[str]:
+        """Return every witness that may answer."""
+        return set().union(*self.sets)
+
+    def has_majority(self) -> bool:
+        """Tell whether most of each set have granted."""
+        return all(2 * len(self.granted & members) > len(members) for members in self.sets)
+
+    def lost_to(self, runner: str) -> tuple[str, int] | None:
+        """Return the holder to give way to, None while this attempt may still win."""
+        if not self.held_by:
+            return None
+        holder, attempt = max(self.held_by.values(), key=lambda held: (-held[1], held[0]))
+        blocked = any(2 * len(members - set(self.held_by)) <= len(members) for members in self.sets)
+        if blocked or (attempt, holder) < (self.attempt, runner):
+            return holder, attempt
+        return None
+
+
+class Finished(NamedTuple):
+    """A round that has ended; `holder` and `holder_attempt` are set when held by another."""
+
+    request_id: bytes
+    attempt: int
+    outcome: Outcome
+    holder: str = ""
+    holder_attempt: int = 0
+
+
+class Claimant:
+    """The rounds that this host has open; a round ends within `CLAIM_ROUND_S`."""
+
+    def __init__(self, host_name: str, incarnation: int):
+        self.host_name = host_name
+        self.last_attempt = incarnation
+        self.rounds: dict[bytes, Round] = {}
+
+    def begin(self, request_id: bytes, sets: WitnessSets, now: float, supersedes: int = 0) -> Round:
+        """Open a round under a new attempt number."""
+        self.last_attempt += 1
+        opened = Round(request_id, self.last_attempt, sets, now, supersedes)
+        self.rounds[request_id] = opened
+        return opened
+
+    def asks(self, current: Round) -> list[tuple[str, ClaimRequest]]:
+        """Return what to ask of the witnesses that have not granted."""
+        ask = ClaimRequest(
+            current.request_id,
+            self.host_name,
+            current.attempt,
+            current.supersedes,
+            current.history_from,
+        )
+        silent = current.witnesses() - current.granted
+        return [(witness, ask) for witness in sorted(silent)]
+
+    def on_reply(self, reply: ClaimReply, now: float) -> Finished | None:
+        """Take a witness's answer; return how the round ended if it did."""
+        current = self.rounds.get(reply.request_id)
+        if current is None or current.attempt != reply.attempt:
+            return None
+        if now - current.started > CLAIM_ROUND_S:
+            return self.end(current, Outcome.UNAVAILABLE)
+        if reply.verdict is ClaimVerdict.GRANTED:
+            current.granted.add(reply.witness)
+            current.held_by.pop(reply.witness, None)
+            return self.end(current, Outcome.GRANTED) if current.has_majority() else None
+        if reply.verdict is ClaimVerdict.HELD:
+            current.held_by[reply.witness] = (reply.holder, reply.holder_attempt)
+            lost = current.lost_to(self.host_name)
+            return self.end(current, Outcome.HELD, *lost) if lost else None
+        return None
+
+    def end(
+        self, current: Round, outcome: Outcome, holder: str = "", holder_attempt: int = 0
+    ) -> Finished:
+        """Close a round."""
+        del self.rounds[current.request_id]
+        return Finished(current.request_id, current.attempt, outcome, holder, holder_attempt)
+
+    def due(self, now: float) -> tuple[list[tuple[str, ClaimRequest]], list[Finished]]:
+        """Return the requests to send again, and the rounds that ran out of time."""
+        resend: list[tuple[str, ClaimRequest]] = []
+        finished: list[Finished] = []
+        for current in list(self.rounds.values()):
+            if now - current.started > CLAIM_ROUND_S:
+                finished.append(self.end(current, Outcome.UNAVAILABLE))
+            elif now >= current.resend_at:
+                current.resend_at = now + CLAIM_RESEND_S
+                resend += self.asks(current)
+        return resend, finished
--- /dev/null
+++ b/src/heatheryoke/core/configuration.py
@@ -0,0 +1,144 @@
+"""The configuration in force: a version that only grows, fetched from peers or the platform."""
+
+from returns.result import Failure, Result, Success
+
+from heatheryoke.core.effects import Count, Effect, FetchConfiguration, SendPeer
+from heatheryoke.core.messages import ConfigurationPart, ConfigurationRequest
+from heatheryoke.core.topology import Topology
+from heatheryoke.inventory.changes import (
+    ChangeMismatch,
+    apply_change,
+    decode_change,
+    encode_change,
+    make_change,
+)
+from heatheryoke.inventory.checks import Problem, check_document
+from heatheryoke.inventory.document import (
+    Address,
+    Document,
+    UnreadableDocument,
+    decode_document,
+    encode_document,
+)
+
+__all__ = ["POLL_S", "Configuration", "InvalidDocument", "is_platform_watcher"]
+
+REQUEST_RETRY_S = 0.3
+POLL_S = 60.0
+PART_BYTES = 1_100
+PLATFORM_WATCHERS_PER_DOMAIN = 2
+MAXIMUM_PARTS = 1_000
+
+
+class InvalidDocument(tuple[Problem, ...]):
+    """The problems for which a document was refused."""
+
+
+Refusal = ChangeMismatch | UnreadableDocument | InvalidDocument
+
+
+def is_platform_watcher(topology: Topology | None, host_name: str, suspected: set[str]) -> bool:
+    """Tell whether a host is one of the few of its failure domain that watch the platform."""
+    segment = topology.segment_of(host_name) if topology else None
+    if segment is None:
+        return True
+    domain = topology.hosts[host_name].failure_domain
+    first: list[str] = []
+    for host in segment.hosts:
+        if host.failure_domain == domain and host.name not in suspected:
+            first.append(host.name)
+            if len(first) == PLATFORM_WATCHERS_PER_DOMAIN:
+                break
+    return host_name in first
+
+
+class Configuration:
+    """Holds the highest version accepted, and exchanges it with peers in parts."""
+
+    def __init__(self):
+        self.topology: Topology | None = None
+        self.change_from_previous: tuple[int, bytes] | None = None
+        self.encoded: bytes = b""
+        self.parts: dict[int, bytes] = {}
+        self.parts_of: tuple[int, int, int] = (0, 0, 0)
+        self.requested_at = float("-inf")
+        self.known_newer = 0
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        return self.topology.version if self.topology else 0
+
+    def accept(self, document: Document) -> bool:
+        """Take a checked document into force unless one as new is; tell whether it was taken."""
+        if document.version <= self.version:
+            return False
+        if self.topology is not None:
+            change = make_change(self.topology.document, document)
+            self.change_from_previous = (change.base, encode_change(change))
+        self.topology = Topology(document)
+        self.encoded = b""
+        self.parts.clear()
+        return True
+
+    def request_from(self, peer: Address, epoch: int, now: float) -> list[Effect]:
+        """Ask a peer that has shown a newer epoch for it, unless another was just asked."""
+        if epoch <= self.version:
+            return []
+        self.known_newer = max(self.known_newer, epoch)
+        if now - self.requested_at < REQUEST_RETRY_S:
+            return []
+        self.requested_at = now
+        return [SendPeer(peer, ConfigurationRequest(self.version)), Count("configuration_requests")]
+
+    def is_behind(self) -> bool:
+        """Tell whether some process has shown a newer epoch."""
+        return self.known_newer > self.version
+
+    def answer(self, peer: Address, request: ConfigurationRequest) -> list[Effect]:
+        """Send a peer what it lacks: the last change if it fits, else the whole document."""
+        if self.topology is None or request.have >= self.version:
+            return []
+        base = 0
+        if self.change_from_previous and self.change_from_previous[0] == request.have:
+            base, data = self.change_from_previous
+        else:
+            self.encoded = self.encoded or encode_document(self.topology.document)
+            data = self.encoded
+        chunks = [data[start : start + PART_BYTES] for start in range(0, len(data), PART_BYTES)]
+        return [
+            SendPeer(peer, ConfigurationPart(self.version, base, index, len(chunks), chunk))
+            for index, chunk in enumerate(chunks)
+        ]
+
+    def collect(self, part: ConfigurationPart) -> Result[Document, Refusal] | None:
+        """Add a part; return the document once all are there, None before."""
+        if part.version <= self.version or not 0 <= part.part < part.parts <= MAXIMUM_PARTS:
+            return None
+        key = (part.version, part.base, part.parts)
+        if key != self.parts_of:
+            self.parts_of = key
+            self.parts.clear()
+        self.parts[part.part] = part.data
+        if len(self.parts) < part.parts:
+            return None
+        data = b"".join(self.parts[index] for index in range(part.parts))
+        self.parts.clear()
+        return self.read(part.base, data).bind(_checked)
+
+    def read(self, base: int, data: bytes) -> Result[Document, Refusal]:
+        """Read a whole document, or a change from the one in force."""
+        if base == 0 or self.topology is None:
+            return decode_document(data)
+        held = self.topology.document
+        return decode_change(data).bind(lambda change: apply_change(held, change))
+
+    def fetch_after_refusal(self) -> list[Effect]:
+        """Turn to the platform, and to a whole document from the next peer."""
+        self.requested_at = float("-inf")
+        return [Count("configurations_refused"), FetchConfiguration()]
+
+
+def _checked(document: Document) -> Result[Document, Refusal]:
+    problems = check_document(document)
+    return Failure(InvalidDocument(problems)) if problems else Success(document)
--- /dev/null
+++ b/src/heatheryoke/core/effects.py
@@ -0,0 +1,120 @@
+"""Everything that a reducer can ask its driver to do."""
+
+from typing import NamedTuple
+
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.messages import Forward, PeerMessage
+from heatheryoke.inventory.document import Address
+
+__all__ = [
+    "AnswerCaller",
+    "BindFlow",
+    "CloseFlow",
+    "Count",
+    "Deliver",
+    "DiscardQueued",
+    "Effect",
+    "FetchConfiguration",
+    "LogChange",
+    "Measure",
+    "SendForward",
+    "SendPeer",
+    "Stopped",
+]
+
+
+class SendForward(NamedTuple):
+    """Send a caller's packet to another process."""
+
+    to: Address
+    message: Forward
+
+
+class SendPeer(NamedTuple):
+    """Send a control message to another process."""
+
+    to: Address
+    message: PeerMessage
+
+
+class BindFlow(NamedTuple):
+    """Bind the local port by which the upstream is to know a flow, 0 for any.
+
+    The driver answers with `FlowBound`; it binds another port where the one asked for is taken.
+    """
+
+    flow: FlowKey
+    upstream: Address
+    local_port: int
+
+
+class Deliver(NamedTuple):
+    """Hand a datagram to the upstream from the flow's own local port."""
+
+    flow: FlowKey
+    payload: bytes
+
+
+class AnswerCaller(NamedTuple):
+    """Send a datagram to the flow's caller, from the service's address."""
+
+    flow: FlowKey
+    payload: bytes
+
+
+class CloseFlow(NamedTuple):
+    """Close the flow's local port."""
+
+    flow: FlowKey
+
+
+class FetchConfiguration(NamedTuple):
+    """Read the platform's document now."""
+
+
+class DiscardQueued(NamedTuple):
+    """Drop every datagram that waits in a socket: the process was paused."""
+
+
+class Count(NamedTuple):
+    """Add to the counter of an event."""
+
+    name: str
+    amount: int = 1
+
+
+class Measure(NamedTuple):
+    """Add a value to the histogram of a tenant and class."""
+
+    name: str
+    tenant: str
+    request_class: str
+    value: float
+
+
+class LogChange(NamedTuple):
+    """Log a change of state."""
+
+    subject: str
+    state: str
+    reason: str
+
+
+class Stopped(NamedTuple):
+    """A graceful stop is complete; the process may end."""
+
+
+Effect = (
+    SendForward
+    | SendPeer
+    | BindFlow
+    | Deliver
+    | AnswerCaller
+    | CloseFlow
+    | FetchConfiguration
+    | DiscardQueued
+    | Count
+    | Measure
+    | LogChange
+    | Stopped
+)
--- /dev/null
+++ b/src/heatheryoke/core/events.py
@@ -0,0 +1,111 @@
+"""Everything that a reducer can be told. Times are monotonic seconds."""
+
+from typing import NamedTuple
+
+from heatheryoke.core.flows import FlowKey, PacketKind
+from heatheryoke.core.messages import Forward, PeerMessage
+from heatheryoke.inventory.document import Address, Document
+
+__all__ = [
+    "CallerPacket",
+    "ConfigurationOffered",
+    "Event",
+    "FlowBound",
+    "ForwardArrived",
+    "PeerMessageArrived",
+    "PlatformUnavailable",
+    "StopRequested",
+    "Tick",
+    "UpstreamGone",
+    "UpstreamPacket",
+]
+
+
+class CallerPacket(NamedTuple):
+    """A datagram that the fabric handed to a balancer."""
+
+    now: float
+    flow: FlowKey
+    service_address: Address
+    kind: PacketKind
+    payload: bytes
+
+
+class ForwardArrived(NamedTuple):
+    """A caller's packet that another process passed on."""
+
+    now: float
+    sender: Address
+    epoch: int
+    message: Forward
+
+
+class PeerMessageArrived(NamedTuple):
+    """A control message from another process."""
+
+    now: float
+    sender: Address
+    epoch: int
+    message: PeerMessage
+
+
+class UpstreamPacket(NamedTuple):
+    """A datagram that the upstream sent to the local port of a flow."""
+
+    now: float
+    flow: FlowKey
+    payload: bytes
+
+
+class FlowBound(NamedTuple):
+    """The local port by which the upstream now knows a flow."""
+
+    now: float
+    flow: FlowKey
+    local_port: int
+
+
+class UpstreamGone(NamedTuple):
+    """The upstream's port refused a datagram of a flow: no process listens there."""
+
+    now: float
+    flow: FlowKey
+
+
+class ConfigurationOffered(NamedTuple):
+    """A document that was read from the platform and passed its checks."""
+
+    now: float
+    document: Document
+
+
+class PlatformUnavailable(NamedTuple):
+    """A read of the platform failed."""
+
+    now: float
+
+
+class Tick(NamedTuple):
+    """Time has passed; sent every `TICK_S`."""
+
+    now: float
+
+
+class StopRequested(NamedTuple):
+    """Begin a graceful stop."""
+
+    now: float
+
+
+Event = (
+    CallerPacket
+    | ForwardArrived
+    | PeerMessageArrived
+    | UpstreamPacket
+    | FlowBound
+    | UpstreamGone
+    | ConfigurationOffered
+    | PlatformUnavailable
+    | Tick
+    | StopRequested
+)
--- /dev/null
+++ b/src/heatheryoke/core/flows.py
@@ -0,0 +1,59 @@
+"""Flow keys: the packed five-tuple, opaque to everything that routes by it."""
+
+import socket
+import struct
+from enum import IntEnum
+from typing import NamedTuple
+
+from heatheryoke.inventory.document import Address
+
+__all__ = ["UDP", "FlowKey", "FlowTuple", "PacketKind", "describe_flow", "flow_key", "flow_tuple"]
+
+UDP = 17
+FLOW_FORMAT = struct.Struct("!B4sH4sH")
+
+FlowKey = bytes
+
+
+class PacketKind(IntEnum):
+    """What a packet says about its flow, as far as its protocol tells."""
+
+    OPENS = 0
+    BELONGS = 1
+    CLOSES = 2
+    EITHER = 3
+
+
+class FlowTuple(NamedTuple):
+    """The five values that name a flow."""
+
+    protocol: int
+    source: Address
+    service: Address
+
+
+def flow_key(flow: FlowTuple) -> FlowKey:
+    """Pack the whole tuple, so that two flows never share a key."""
+    return FLOW_FORMAT.pack(
+        flow.protocol,
+        socket.inet_aton(flow.source.ip),
+        flow.source.port,
+        socket.inet_aton(flow.service.ip),
+        flow.service.port,
+    )
+
+
+def flow_tuple(key: FlowKey) -> FlowTuple:
+    """Unpack a key made by `flow_key`."""
+    protocol, source_ip, source_port, service_ip, service_port = FLOW_FORMAT.unpack(key)
+    return FlowTuple(
+        protocol,
+        Address(socket.inet_ntoa(source_ip), source_port),
+        Address(socket.inet_ntoa(service_ip), service_port),
+    )
+
+
+def describe_flow(key: FlowKey) -> str:
+    """Return `source>service` for logs and operators."""
+    flow = flow_tuple(key)
+    return f"{flow.source}>{flow.service}"
--- /dev/null
+++ b/src/heatheryoke/core/history.py
@@ -0,0 +1,79 @@
+"""The topologies in force during the lifetime of a claim, and the rankings they gave."""
+
+from typing import NamedTuple
+
+from heatheryoke.core.claims import WitnessSets
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.topology import Topology
+from heatheryoke.inventory.document import Host
+
+__all__ = ["TopologyHistory"]
+
+
+class Superseded(NamedTuple):
+    """A topology that was in force until a time."""
+
+    topology: Topology
+    until: float
+
+
+class TopologyHistory:
+    """Remembers superseded topologies for `keep_s`."""
+
+    def __init__(self, keep_s: float):
+        self.keep_s = keep_s
+        self.current: Topology | None = None
+        self.superseded: list[Superseded] = []
+        self.began = 0.0
+        self.first_version = 0
+
+    def use(self, topology: Topology, now: float) -> None:
+        """Bring a topology into force."""
+        if self.current is None:
+            self.began = now
+            self.first_version = topology.version
+        else:
+            self.superseded.append(Superseded(self.current, now))
+        self.current = topology
+        self.superseded = [row for row in self.superseded if now - row.until < self.keep_s]
+
+    def previous(self, now: float, within_s: float) -> Topology | None:
+        """Return the topology that was in force `within_s` ago, None if it still is."""
+        for row in self.superseded:
+            if now - row.until < within_s:
+                return row.topology
+        return None
+
+    def former_homes(self, service: str, flow: FlowKey, now: float, within_s: float) -> list[Host]:
+        """Return the flow's homes of `within_s` ago, none if they are the present ones."""
+        previous = self.previous(now, within_s)
+        if previous is None or service not in previous.services:
+            return []
+        former = previous.view(service).homes(flow)
+        present = self.current.view(service).homes(flow)
+        return former if former[:1] != present[:1] else []
+
+    def witness_sets(self, service: str, request_id: bytes, now: float) -> WitnessSets:
+        """Return every witness set of a request id during the lifetime of a claim."""
+        topologies = [row.topology for row in self.superseded if now - row.until < self.keep_s]
+        sets = [self.witnesses(each, service, request_id) for each in (self.current, *topologies)]
+        known_for = now - self.began
+        history_from = 0 if known_for >= self.keep_s else self.first_version
+        return WitnessSets(list(dict.fromkeys(filter(None, sets))), history_from)
+
+    def is_missing(self, service: str, request_id: bytes, history_from: int, now: float) -> bool:
+        """Tell whether a claimant that knows epochs from `history_from` misses a witness set."""
+        present = self.witnesses(self.current, service, request_id)
+        return any(
+            row.topology.version < history_from
+            and now - row.until < self.keep_s
+            and self.witnesses(row.topology, service, request_id) != present
+            for row in self.superseded
+        )
+
+    @staticmethod
+    def witnesses(topology: Topology, service: str, request_id: bytes) -> frozenset[str]:
+        """Return the names of the witnesses that one topology gives."""
+        if service not in topology.services:
+            return frozenset()
+        return frozenset(host.name for host in topology.view(service).witnesses(request_id))
--- /dev/null
+++ b/src/heatheryoke/core/membership.py
@@ -0,0 +1,253 @@
+"""Who is alive: each process is watched by three others, and news travels along the ring."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from heatheryoke.core.effects import Count, Effect, LogChange, SendPeer
+from heatheryoke.core.messages import Accusation, Accusations, EpochNotice, Heartbeat
+from heatheryoke.core.topology import Segment, Topology
+from heatheryoke.inventory.document import Address, Host
+
+__all__ = ["HEARTBEAT_S", "SILENCE_S", "Membership", "relay_targets", "watch_offsets"]
+
+HEARTBEAT_S = 1.0
+SILENCE_S = 3.5
+WATCHERS = 3
+FAN_OUT = 8
+ACCUSATIONS_PER_MESSAGE = 12
+
+
+def watch_offsets(ring_size: int) -> list[int]:
+    """Return the ring distances between a process and those that watch it."""
+    if ring_size <= 1:
+        return []
+    third = max(1, round(ring_size ** (1 / 3)))
+    wide = [1, 1 + third, 1 + third + third * third]
+    near = range(1, ring_size)
+    usable = [offset % ring_size for offset in (*wide, *near) if offset % ring_size]
+    return list(dict.fromkeys(usable))[:WATCHERS]
+
+
+class Relay(NamedTuple):
+    """One process to pass news to, and how many ring positions after it are its share."""
+
+    host: Host
+    span: int
+
+
+def relay_targets(ring: list[Host], start: int, span: int, skip: Iterable[str] = ()) -> list[Relay]:
+    """Split the `span` positions after `start` among up to `FAN_OUT` live hosts."""
+    avoided = set(skip)
+    share, extra = divmod(span, FAN_OUT)
+    targets: list[Relay] = []
+    position = start + 1
+    for index in range(FAN_OUT):
+        width = share + (1 if index < extra else 0)
+        end = position + width
+        for candidate in range(position, end):
+            host = ring[candidate % len(ring)]
+            if host.name not in avoided:
+                targets.append(Relay(host, end - candidate - 1))
+                break
+        position = end
+    return targets
+
+
+class Membership:
+    """Heartbeats to this process's watchers, and the accusations that it knows of."""
+
+    def __init__(self, host_name: str, incarnation: int):
+        self.host_name = host_name
+        self.incarnation = incarnation
+        self.topology: Topology | None = None
+        self.last_heard: dict[str, float] = {}
+        self.accusations: dict[tuple[str, str], Accusation] = {}
+        self.suspected_since: dict[str, float] = {}
+        self.next_heartbeat = 0.0
+        self.digest = 0
+
+    def use(self, topology: Topology, now: float) -> None:
+        """Take a new topology; hosts that it no longer has are forgotten."""
+        self.topology = topology
+        known = topology.hosts
+        self.accusations = {
+            key: row
+            for key, row in self.accusations.items()
+            if row.host in known and row.accuser in known
+        }
+        self.last_heard = {
+            host.name: self.last_heard.get(host.name, now) for host in self.watched()
+        }
+        self.refresh(now)
+
+    def segment(self) -> Segment | None:
+        """Return the hosts that this process watches with, None while it is not among them."""
+        return self.topology.segment_of(self.host_name) if self.topology else None
+
+    def neighbours(self, direction: int) -> list[Host]:
+        """Return the hosts at the watch offsets before (-1) or after (+1) this one."""
+        segment = self.segment()
+        if segment is None:
+            return []
+        hosts = segment.hosts
+        position = segment.positions[self.host_name]
+        offsets = watch_offsets(len(hosts))
+        return [hosts[(position + direction * offset) % len(hosts)] for offset in offsets]
+
+    def watchers(self) -> list[Host]:
+        """Return the hosts that expect this process's heartbeats."""
+        return self.neighbours(+1)
+
+    def watched(self) -> list[Host]:
+        """Return the hosts whose heartbeats this process expects."""
+        return self.neighbours(-1)
+
+    def is_suspected(self, host_name: str) -> bool:
+        """Tell whether most of a host's watchers accuse it."""
+        return host_name in self.suspected_since
+
+    def suspected_for(self, host_name: str, now: float) -> float:
+        """Return for how many seconds a host has been suspected, 0 if it is not."""
+        since = self.suspected_since.get(host_name)
+        return 0.0 if since is None else now - since
+
+    def tick(self, now: float) -> list[Effect]:
+        """Send heartbeats that are due and accuse the watched that have fallen silent."""
+        if now < self.next_heartbeat:
+            return []
+        self.next_heartbeat = now + HEARTBEAT_S
+        beat = Heartbeat(self.host_name, self.incarnation, self.digest)
+        effects: list[Effect] = [SendPeer(host.address, beat) for host in self.watchers()]
+        changed = [
+            self.own_word(host.name, True)
+            for host in self.watched()
+            if now - self.last_heard.get(host.name, now) > SILENCE_S and not self.accuses(host.name)
+        ]
+        return effects + self.spread(changed, now)
+
+    def forgive_all(self, now: float) -> None:
+        """Restart every silence, since this process itself was paused."""
+        self.last_heard = dict.fromkeys(self.last_heard, now)
+
+    def heard(self, beat: Heartbeat, now: float) -> list[Effect]:
+        """Take a heartbeat; answer with what this process knows if the sender's view differs."""
+        self.last_heard[beat.host] = now
+        effects: list[Effect] = []
+        if self.accuses(beat.host):
+            effects += self.spread([self.own_word(beat.host, False)], now)
+        if beat.digest != self.digest and self.topology and beat.host in self.topology.hosts:
+            address = self.topology.hosts[beat.host].address
+            pull = Accusations(0, ())
+            effects += [SendPeer(address, batch) for batch in (*self.batches(), pull)]
+        return effects
+
+    def merge(self, sender: Address, news: Accusations, now: float) -> list[Effect]:
+        """Take accusations from a peer and pass on those that were news.
+
+        A message without entries asks for all that this process knows.
+        """
+        if not news.entries:
+            return [SendPeer(sender, batch) for batch in self.batches()]
+        fresh = [row for row in news.entries if self.accept(row)]
+        if not fresh:
+            return []
+        effects = self.refresh(now)
+        return effects + self.relay(Accusations(news.span, tuple(fresh)), news.span)
+
+    def announce_epoch(self, span: int, previous: Topology | None) -> list[Effect]:
+        """Tell the `span` hosts after this one of the epoch, by way of a few of them.
+
+        Hosts of a failure domain that stays withdrawn are left out.
+        """
+        position = self.topology.ring_positions.get(self.host_name) if self.topology else None
+        if position is None:
+            return []
+        skip = self.suspected_since.keys() | self.staying_withdrawn(previous)
+        targets = relay_targets(self.topology.ring, position, span, skip)
+        return [SendPeer(target.host.address, EpochNotice(target.span)) for target in targets]
+
+    def staying_withdrawn(self, previous: Topology | None) -> set[str]:
+        """Return the hosts of other withdrawn domains that were withdrawn before, too."""
+        if previous is None or not self.topology.withdrawn:
+            return set()
+        own = self.topology.hosts[self.host_name].failure_domain
+        domains = self.topology.withdrawn & previous.withdrawn - {own}
+        return {host.name for host in self.topology.ring if host.failure_domain in domains}
+
+    def full_span(self) -> int:
+        """Return the span that covers the whole ring but this process."""
+        return len(self.topology.ring) - 1 if self.topology else 0
+
+    def accuses(self, host_name: str) -> bool:
+        """Tell whether this process's own word stands against a host."""
+        row = self.accusations.get((self.host_name, host_name))
+        return row is not None and row.suspected
+
+    def own_word(self, host_name: str, suspected: bool) -> Accusation:
+        """Return this process's next word on a host."""
+        last = self.accusations.get((self.host_name, host_name))
+        counter = max(self.incarnation, last.counter + 1 if last else 0)
+        return Accusation(self.host_name, host_name, counter, suspected)
+
+    def accept(self, row: Accusation) -> bool:
+        """Keep a row if it is newer than the one held; tell whether it was."""
+        key = (row.accuser, row.host)
+        held = self.accusations.get(key)
+        if held is not None and held.counter >= row.counter:
+            return False
+        self.accusations[key] = row
+        return True
+
+    def spread(self, rows: list[Accusation], now: float) -> list[Effect]:
+        """Accept this process's own words and send them round the ring."""
+        rows = [row for row in rows if self.accept(row)]
+        if not rows:
+            return []
+        segment = self.segment()
+        span = len(segment.hosts) - 1 if segment else 0
+        return self.refresh(now) + self.relay(Accusations(span, tuple(rows)), span)
+
+    def relay(self, news: Accusations, span: int) -> list[Effect]:
+        """Pass accusations on to this process's share of the ring."""
+        segment = self.segment()
+        if segment is None or span <= 0:
+            return []
+        position = segment.positions[self.host_name]
+        targets = relay_targets(segment.hosts, position, span, self.suspected_since)
+        return [
+            SendPeer(target.host.address, Accusations(target.span, news.entries))
+            for target in targets
+        ]
+
+    def batches(self) -> list[Accusations]:
+        """Return all that is known, cut into messages."""
+        rows = sorted(self.accusations.values())
+        step = ACCUSATIONS_PER_MESSAGE
+        return [
+            Accusations(0, tuple(rows[start : start + step])) for start in range(0, len(rows), step)
+        ]
+
+    def refresh(self, now: float) -> list[Effect]:
+        """Recompute who is suspected, and the digest that heartbeats carry."""
+        accusers: dict[str, int] = {}
+        standing = [row for row in self.accusations.values() if row.suspected]
+        for row in standing:
+            accusers[row.host] = accusers.get(row.host, 0) + 1
+        segment = self.segment()
+        watchers = watch_offsets(len(segment.hosts)) if segment else []
+        needed = len(watchers) // 2 + 1
+        suspected = {host for host, count in accusers.items() if count >= needed}
+        before = set(self.suspected_since)
+        for host in before - suspected:
+            del self.suspected_since[host]
+        for host in suspected - before:
+            self.suspected_since[host] = now
+        text = ",".join(f"{a.accuser}>{a.host}:{a.counter}" for a in sorted(standing))
+        self.digest = xxhash.xxh32_intdigest(text.encode())
+        return [
+            *(LogChange(host, "suspected", "silent") for host in sorted(suspected - before)),
+            *(LogChange(host, "alive", "heard again") for host in sorted(before - suspected)),
+            *([Count("suspicions", len(suspected - before))] if suspected - before else []),
+        ]
--- /dev/null
+++ b/src/heatheryoke/core/messages.py
@@ -0,0 +1,272 @@
+"""Messages between the system's own processes; `heatheryoke.wire` gives their encoding."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from heatheryoke.core.flows import FlowKey, PacketKind
+from heatheryoke.inventory.document import Address
+
+__all__ = [
+    "HOP_LIMIT",
+    "Accusation",
+    "Accusations",
+    "ClaimRecord",
+    "ClaimRelease",
+    "ClaimReply",
+    "ClaimRequest",
+    "ClaimVerdict",
+    "ConfigurationPart",
+    "ConfigurationRequest",
+    "EpochNotice",
+    "Forward",
+    "Heartbeat",
+    "Hint",
+    "PeerMessage",
+    "RecoveryReply",
+    "RecoveryRequest",
+    "Registration",
+    "Registrations",
+    "RegistrationsAck",
+    "ResultReply",
+    "ResultRequest",
+    "ResultState",
+    "Visit",
+    "Yield",
+]
+
+HOP_LIMIT = 8
+
+
+class Visit(NamedTuple):
+    """One candidate that a new flow's first packet passed, with its load there."""
+
+    host_id: int
+    load: float
+
+
+class Forward(NamedTuple):
+    """A caller's packet on its way to the owner of its flow.
+
+    `service_id` is the service that the sender meant; `via` is the balancer to send a hint to;
+    `assigned` tells the receiver that it is the owner, with the `local_port` (0 for any) by which
+    the upstream knows the flow and the `generation` of that decision. `deputed` tells the receiver
+    to place the flow if it does not know it, though another host is the home in the newest epoch.
+    """
+
+    flow: FlowKey
+    service_id: int
+    kind: PacketKind
+    hops: int
+    via: Address
+    payload: bytes
+    visited: tuple[Visit, ...] = ()
+    assigned: bool = False
+    deputed: bool = False
+    local_port: int = 0
+    generation: int = 0
+
+
+class Hint(NamedTuple):
+    """Tells a balancer which host owns a flow."""
+
+    flow: FlowKey
+    owner_id: int
+
+
+class Registration(NamedTuple):
+    """One flow as its owner reports it to the flow's homes.
+
+    `local_port` is the port by which the upstream knows the flow, 0 while unknown. The registration
+    of the highest `generation` stands; `feeds` are the requests that opened its standing feeds.
+    """
+
+    flow: FlowKey
+    owner: str
+    generation: int
+    local_port: int
+    answered: bool
+    closed: bool
+    feeds: tuple[bytes, ...]
+
+
+class Registrations(NamedTuple):
+    """A batch of registrations from one owner, to be acknowledged by its number."""
+
+    batch: int
+    entries: tuple[Registration, ...]
+
+
+class RegistrationsAck(NamedTuple):
+    """Acknowledges a batch of registrations."""
+
+    batch: int
+
+
+class Yield(NamedTuple):
+    """Tells the losing owner of a flow that another host owns it."""
+
+    flow: FlowKey
+    owner: str
+
+
+class ClaimRecord(NamedTuple):
+    """A witness's record that `runner` may run the request `request_id`."""
+
+    request_id: bytes
+    runner: str
+    attempt: int
+    remaining_s: float
+
+
+class RecoveryRequest(NamedTuple):
+    """A restarted agent asks a peer for what it held."""
+
+    host: str
+    incarnation: int
+
+
+class RecoveryReply(NamedTuple):
+    """One part of a peer's answer to a recovery request.
+
+    `complete` is False while the peer itself has not recovered its claims.
+    """
+
+    incarnation: int
+    part: int
+    parts: int
+    complete: bool
+    entries: tuple[Registration, ...]
+    claims: tuple[ClaimRecord, ...]
+
+
+class Heartbeat(NamedTuple):
+    """Sent each second by a process to those that watch it."""
+
+    host: str
+    incarnation: int
+    digest: int
+
+
+class Accusation(NamedTuple):
+    """One watcher's latest word on whether a host is silent; `counter` orders its words."""
+
+    accuser: str
+    host: str
+    counter: int
+    suspected: bool
+
+
+class Accusations(NamedTuple):
+    """News of accusations; the receiver passes them on to the next `span` hosts of the ring."""
+
+    span: int
+    entries: tuple[Accusation, ...]
+
+
+class EpochNotice(NamedTuple):
+    """News of the sender's epoch; the receiver passes it on to the next `span` hosts."""
+
+    span: int
+
+
+class ConfigurationRequest(NamedTuple):
+    """Asks a peer for its document, as a change from version `have` if it can."""
+
+    have: int
+
+
+class ConfigurationPart(NamedTuple):
+    """One part of a document (`base` 0) or of a change from version `base`."""
+
+    version: int
+    base: int
+    part: int
+    parts: int
+    data: bytes
+
+
+class ClaimRequest(NamedTuple):
+    """Asks a witness to let `runner` run a request.
+
+    `supersedes` names an attempt known to be released; `history_from` is the first epoch whose
+    witnesses the runner knows of, 0 if it knows all that count.
+    """
+
+    request_id: bytes
+    runner: str
+    attempt: int
+    supersedes: int = 0
+    history_from: int = 0
+
+
+class ClaimVerdict(IntEnum):
+    """A witness's answer to a claim."""
+
+    GRANTED = 0
+    HELD = 1
+    RECOVERING = 2
+    STALE_EPOCH = 3
+
+
+class ClaimReply(NamedTuple):
+    """A witness's answer; `holder` and `holder_attempt` name the claim that stands."""
+
+    request_id: bytes
+    witness: str
+    attempt: int
+    verdict: ClaimVerdict
+    holder: str
+    holder_attempt: int
+
+
+class ClaimRelease(NamedTuple):
+    """Tells a witness that an attempt was never started and never will be."""
+
+    request_id: bytes
+    runner: str
+    attempt: int
+
+
+class ResultRequest(NamedTuple):
+    """Asks the holder of a claim for the answer to the request."""
+
+    request_id: bytes
+    holder_attempt: int
+
+
+class ResultState(IntEnum):
+    """What the holder of a claim says about it."""
+
+    PENDING = 0
+    ANSWERED = 1
+    RELEASED = 2
+    UNKNOWN = 3
+
+
+class ResultReply(NamedTuple):
+    """The holder's word on a request; `answer` is the upstream's datagram when answered."""
+
+    request_id: bytes
+    holder_attempt: int
+    state: ResultState
+    answer: bytes
+
+
+PeerMessage = (
+    Hint
+    | Registrations
+    | RegistrationsAck
+    | Yield
+    | RecoveryRequest
+    | RecoveryReply
+    | Heartbeat
+    | Accusations
+    | EpochNotice
+    | ConfigurationRequest
+    | ConfigurationPart
+    | ClaimRequest
+    | ClaimReply
+    | ClaimRelease
+    | ResultRequest
+    | ResultReply
+)
--- /dev/null
+++ b/src/heatheryoke/core/ownership.py
@@ -0,0 +1,203 @@
+"""The flows that this host owns, and their registration at their homes."""
+
+from collections import OrderedDict, deque
+from typing import NamedTuple
+
+from heatheryoke.core.directory import RENEWAL_S
+from heatheryoke.core.effects import Count, Effect, SendPeer
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.messages import Registration, Registrations
+from heatheryoke.core.topology import Topology
+
+__all__ = ["OwnedFlow", "OwnedFlows", "Registrar"]
+
+REMEMBERED_ANSWERS = 8
+BATCH_ENTRIES = 12
+RESEND_S = 0.3
+MAXIMUM_RESENDS = 20
+
+
+class OwnedFlow:
+    """One flow that this host's upstream serves.
+
+    `answers` holds the latest answers by message id, for requests that arrive twice; an empty
+    one stands for a request that is still in progress. `feeds` holds the request that opened each
+    standing feed, by token.
+    """
+
+    __slots__ = (
+        "active",
+        "answered",
+        "answers",
+        "feeds",
+        "flow",
+        "generation",
+        "homes",
+        "local_port",
+        "opened",
+        "service",
+    )
+
+    def __init__(self, flow: FlowKey, service: str, generation: int, local_port: int, now: float):
+        self.flow = flow
+        self.service = service
+        self.generation = generation
+        self.local_port = local_port
+        self.opened = now
+        self.active = now
+        self.answered = False
+        self.feeds: dict[bytes, bytes] = {}
+        self.homes: tuple[str, ...] = ()
+        self.answers: OrderedDict[int, bytes] | None = None
+
+    def remember(self, message_id: int, answer: bytes) -> None:
+        """Keep the answer to a message id, dropping the oldest beyond the bound."""
+        if self.answers is None:
+            self.answers = OrderedDict()
+        self.answers[message_id] = answer
+        if len(self.answers) > REMEMBERED_ANSWERS:
+            self.answers.popitem(last=False)
+
+    def remembered(self, message_id: int) -> bytes | None:
+        """Return the answer kept for a message id, None if the id is new."""
+        return self.answers.get(message_id) if self.answers else None
+
+    def registration(self, owner: str, closed: bool = False) -> Registration:
+        """Return what the homes should know of this flow."""
+        return Registration(
+            self.flow,
+            owner,
+            self.generation,
+            self.local_port,
+            self.answered,
+            closed,
+            tuple(self.feeds.values()),
+        )
+
+
+class OwnedFlows:
+    """Owned flows by key, and for each service in order of their last packet."""
+
+    def __init__(self):
+        self.flows: dict[FlowKey, OwnedFlow] = {}
+        self.by_service: dict[str, OrderedDict[FlowKey, OwnedFlow]] = {}
+
+    def __len__(self) -> int:
+        return len(self.flows)
+
+    def add(self, owned: OwnedFlow) -> None:
+        """Take ownership of a flow."""
+        self.flows[owned.flow] = owned
+        self.by_service.setdefault(owned.service, OrderedDict())[owned.flow] = owned
+
+    def remove(self, flow: FlowKey) -> OwnedFlow | None:
+        """Give a flow up."""
+        owned = self.flows.pop(flow, None)
+        if owned is not None:
+            del self.by_service[owned.service][flow]
+        return owned
+
+    def touch(self, owned: OwnedFlow, now: float) -> None:
+        """Note a packet of a flow."""
+        owned.active = now
+        self.by_service[owned.service].move_to_end(owned.flow)
+
+    def count(self, service: str) -> int:
+        """Return how many flows of a service are owned."""
+        return len(self.by_service.get(service, ()))
+
+    def idle(self, service: str, before: float, limit: int) -> list[OwnedFlow]:
+        """Return up to `limit` flows of a service that have been silent since `before`."""
+        found: list[OwnedFlow] = []
+        for owned in self.by_service.get(service, {}).values():
+            if owned.active >= before or len(found) == limit:
+                break
+            found.append(owned)
+        return found
+
+
+class Batch(NamedTuple):
+    """Registrations sent to a home and not yet acknowledged."""
+
+    home: str
+    entries: tuple[Registration, ...]
+    resend_at: float
+    resends: int
+
+
+class Registrar:
+    """Sends registrations to homes in batches until they are acknowledged, and renews them."""
+
+    def __init__(self, host_name: str, first_batch: int):
+        self.host_name = host_name
+        self.outbox: dict[str, dict[FlowKey, Registration]] = {}
+        self.unacknowledged: dict[int, Batch] = {}
+        self.renewals: deque[tuple[float, OwnedFlow]] = deque()
+        self.last_batch = first_batch
+
+    def is_idle(self) -> bool:
+        """Tell whether every registration has been acknowledged."""
+        return not self.outbox and not self.unacknowledged
+
+    def register(self, owned: OwnedFlow, topology: Topology) -> None:
+        """Queue a flow's registration at each of its homes but this host."""
+        homes = topology.view(owned.service).homes(owned.flow)
+        owned.homes = tuple(home.name for home in homes)
+        self.queue(owned, owned.registration(self.host_name))
+
+    def close(self, owned: OwnedFlow) -> None:
+        """Queue the news that a flow is over."""
+        self.queue(owned, owned.registration(self.host_name, closed=True))
+
+    def queue(self, owned: OwnedFlow, row: Registration) -> None:
+        """Queue one registration for a flow's homes."""
+        for home in owned.homes:
+            if home != self.host_name:
+                self.outbox.setdefault(home, {})[owned.flow] = row
+
+    def renew_later(self, owned: OwnedFlow, now: float) -> None:
+        """Plan the next renewal of a flow."""
+        self.renewals.append((now + RENEWAL_S, owned))
+
+    def due(self, now: float, limit: int) -> list[OwnedFlow]:
+        """Take up to `limit` flows whose renewal is due."""
+        found: list[OwnedFlow] = []
+        while self.renewals and self.renewals[0][0] <= now and len(found) < limit:
+            found.append(self.renewals.popleft()[1])
+        return found
+
+    def acknowledge(self, batch: int) -> None:
+        """Note that a home has taken a batch."""
+        self.unacknowledged.pop(batch, None)
+
+    def flush(self, topology: Topology, now: float) -> list[Effect]:
+        """Send what is queued, and again what was not acknowledged in time."""
+        effects: list[Effect] = []
+        for number, batch in list(self.unacknowledged.items()):
+            if batch.resend_at <= now:
+                del self.unacknowledged[number]
+                effects += self.resend(batch, topology, now)
+        for home, rows in self.outbox.items():
+            entries = tuple(rows.values())
+            for start in range(0, len(entries), BATCH_ENTRIES):
+                chunk = entries[start : start + BATCH_ENTRIES]
+                effects += self.send(Batch(home, chunk, now + RESEND_S, 0), topology)
+        self.outbox.clear()
+        return effects
+
+    def resend(self, batch: Batch, topology: Topology, now: float) -> list[Effect]:
+        """Send a batch again, ever more slowly, until the bound."""
+        if batch.resends >= MAXIMUM_RESENDS:
+            return [Count("registrations_given_up", len(batch.entries))]
+        delay = RESEND_S * 2 ** min(batch.resends + 1, 4)
+        again = batch._replace(resend_at=now + delay, resends=batch.resends + 1)
+        return [Count("registrations_resent"), *self.send(again, topology)]
+
+    def send(self, batch: Batch, topology: Topology) -> list[Effect]:
+        """Send a batch and wait for its acknowledgement."""
+        home = topology.hosts.get(batch.home)
+        if home is None:
+            return []
+        self.last_batch += 1
+        self.unacknowledged[self.last_batch] = batch
+        return [SendPeer(home.address, Registrations(self.last_batch, batch.entries))]
--- /dev/null
+++ b/src/heatheryoke/core/recovery.py
@@ -0,0 +1,105 @@
+"""What a restarted agent reads back from the agents that share its services."""
+
+from heatheryoke.core.claims import RECOVERY_DELAY_S
+from heatheryoke.core.effects import Effect, SendPeer
+from heatheryoke.core.messages import ClaimRecord, RecoveryReply, RecoveryRequest, Registration
+from heatheryoke.inventory.document import Host
+
+__all__ = ["FLOW_RECOVERY_S", "Recovery", "recovery_replies"]
+
+FLOW_RECOVERY_S = 1.5
+RETRY_S = 0.4
+GIVE_UP_S = 60.0
+ENTRIES_PER_PART = 8
+CLAIMS_PER_PART = 8
+
+
+class Recovery:
+    """Asks every peer for flows at once, and for claims when none can be half granted any more.
+
+    A claim that this host's former process granted reaches its majority within one round, so
+    claims are read back only after two.
+    """
+
+    def __init__(self, host_name: str, incarnation: int):
+        self.host_name = host_name
+        self.incarnation = incarnation
+        self.started: float | None = None
+        self.retry_at = 0.0
+        self.peers: dict[str, Host] = {}
+        self.parts: dict[str, set[int]] = {}
+        self.whole: set[str] = set()
+        self.complete: set[str] = set()
+        self.asks_for_claims = False
+
+    def begin(self, peers: list[Host], now: float) -> list[Effect]:
+        """Ask every peer."""
+        self.started = now
+        self.retry_at = now + RETRY_S
+        self.peers = {peer.name: peer for peer in peers}
+        return self.ask(peers)
+
+    def ask(self, peers: list[Host]) -> list[Effect]:
+        """Ask some peers for what they hold."""
+        request = RecoveryRequest(self.host_name, self.incarnation)
+        return [SendPeer(peer.address, request) for peer in peers]
+
+    def advance(self, now: float) -> list[Effect]:
+        """Turn to claims when it is time, and ask the silent again."""
+        if self.started is None or now - self.started > GIVE_UP_S:
+            return []
+        if not self.asks_for_claims and now - self.started > RECOVERY_DELAY_S:
+            self.asks_for_claims = True
+            self.parts.clear()
+            self.complete.clear()
+            self.retry_at = now + RETRY_S
+            return self.ask(list(self.peers.values()))
+        if now < self.retry_at:
+            return []
+        self.retry_at = now + RETRY_S
+        done = self.complete if self.asks_for_claims else self.whole
+        return self.ask([peer for name, peer in self.peers.items() if name not in done])
+
+    def note(self, peer: str, reply: RecoveryReply) -> None:
+        """Count a part of a peer's answer."""
+        if reply.incarnation != self.incarnation:
+            return
+        parts = self.parts.setdefault(peer, set())
+        parts.add(reply.part)
+        if len(parts) == reply.parts:
+            self.whole.add(peer)
+            if reply.complete and self.asks_for_claims:
+                self.complete.add(peer)
+
+    def has_flows(self, now: float) -> bool:
+        """Tell whether flows have been read back as far as they can be."""
+        if self.started is None:
+            return False
+        return self.whole >= set(self.peers) or now - self.started > FLOW_RECOVERY_S
+
+    def has_claims(self) -> bool:
+        """Tell whether every other possible witness's claims have been read back."""
+        return self.asks_for_claims and bool(self.peers) and self.complete >= set(self.peers)
+
+
+def recovery_replies(
+    request: RecoveryRequest,
+    complete: bool,
+    entries: list[Registration],
+    claims: list[ClaimRecord],
+) -> list[RecoveryReply]:
+    """Cut what a peer asked for into parts."""
+    entry_parts = -(-len(entries) // ENTRIES_PER_PART)
+    claim_parts = -(-len(claims) // CLAIMS_PER_PART)
+    parts = max(1, entry_parts, claim_parts)
+    return [
+        RecoveryReply(
+            request.incarnation,
+            part,
+            parts,
+            complete,
+            tuple(entries[part * ENTRIES_PER_PART : (part + 1) * ENTRIES_PER_PART]),
+            tuple(claims[part * CLAIMS_PER_PART : (part + 1) * CLAIMS_PER_PART]),
+        )
+        for part in range(parts)
+    ]
--- /dev/null
+++ b/src/heatheryoke/core/topology.py
@@ -0,0 +1,163 @@
+"""One document, indexed for the hot path, with the rankings computed from it."""
+
+from collections.abc import Iterable
+from functools import cached_property
+
+import xxhash
+
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.inventory.checks import short_id
+from heatheryoke.inventory.document import (
+    Address,
+    Document,
+    Endpoint,
+    Host,
+    HostState,
+    Role,
+    Service,
+)
+
+__all__ = ["HOME_COUNT", "WITNESS_COUNT", "Segment", "ServiceView", "Topology"]
+
+HOME_COUNT = 2
+WITNESS_COUNT = 3
+
+
+class ServiceView:
+    """The agents of one service, ready to be ranked for a key."""
+
+    def __init__(self, service: Service, agents: list[Host], placeable: frozenset[str]):
+        self.service = service
+        self.agents = agents
+        self.placeable = placeable
+        self.seeds = [(short_id(host.name), host) for host in agents]
+
+    def ranked(self, key: bytes) -> list[Host]:
+        """Return the agents in rendezvous order for `key`."""
+        digest = xxhash.xxh3_64_intdigest
+        scored = [(digest(key, seed), seed, host) for seed, host in self.seeds]
+        scored.sort(reverse=True)
+        return [host for _, _, host in scored]
+
+    def homes(self, flow: FlowKey) -> list[Host]:
+        """Return the hosts that keep the flow's directory entry."""
+        return _spread(self.ranked(flow), HOME_COUNT)
+
+    def witnesses(self, request_id: bytes) -> list[Host]:
+        """Return the hosts that keep the claims of a request id."""
+        return _spread(self.ranked(b"claim:" + request_id), WITNESS_COUNT)
+
+    def candidates(self, flow: FlowKey) -> list[Host]:
+        """Return the hosts that may own a new flow, in rendezvous order."""
+        return [host for host in self.ranked(flow) if host.name in self.placeable]
+
+
+def _spread(ranked: Iterable[Host], count: int) -> list[Host]:
+    """Take the first hosts in different failure domains; repeat domains only for want of more."""
+    chosen: list[Host] = []
+    rest: list[Host] = []
+    domains: set[str] = set()
+    for host in ranked:
+        if host.failure_domain in domains:
+            rest.append(host)
+            continue
+        domains.add(host.failure_domain)
+        chosen.append(host)
+        if len(chosen) == count:
+            return chosen
+    return (chosen + rest)[:count]
+
+
+class Segment:
+    """Hosts that watch one another, in ring order."""
+
+    def __init__(self, hosts: list[Host]):
+        self.hosts = hosts
+        self.positions = {host.name: index for index, host in enumerate(hosts)}
+
+
+class Topology:
+    """A document in force, with every index that packets need."""
+
+    def __init__(self, document: Document):
+        self.document = document
+        self.version = document.version
+        self.hosts = {host.name: host for host in document.hosts}
+        self.hosts_by_id = {short_id(host.name): host for host in document.hosts}
+        self.withdrawn = {row.name for row in document.failure_domains if row.withdrawn}
+        self.services = {service.name: service for service in document.services}
+        self.service_ids = {short_id(service.name): service for service in document.services}
+        self.services_by_address = {service.address: service for service in document.services}
+        self.endpoints: dict[tuple[str, str], Endpoint] = {}
+        self.endpoints_of_service: dict[str, list[Endpoint]] = {}
+        self.services_of_host: dict[str, list[str]] = {}
+        self.views: dict[str, ServiceView] = {}
+        for row in document.endpoints:
+            self.endpoints[row.service, row.host] = row
+            self.endpoints_of_service.setdefault(row.service, []).append(row)
+            self.services_of_host.setdefault(row.host, []).append(row.service)
+
+    def is_withdrawn(self, host_name: str) -> bool:
+        """Tell whether a host is unknown or stands in a withdrawn failure domain."""
+        host = self.hosts.get(host_name)
+        return host is None or host.failure_domain in self.withdrawn
+
+    def is_placeable(self, host: Host) -> bool:
+        """Tell whether a host may be given new flows."""
+        return host.state is HostState.ACTIVE and host.failure_domain not in self.withdrawn
+
+    def view(self, service_name: str) -> ServiceView:
+        """Return the agents of a service that stand outside withdrawn failure domains."""
+        found = self.views.get(service_name)
+        if found is None:
+            rows = self.endpoints_of_service.get(service_name, ())
+            hosts = [self.hosts[row.host] for row in rows]
+            agents = [host for host in hosts if host.failure_domain not in self.withdrawn]
+            placeable = frozenset(host.name for host in agents if self.is_placeable(host))
+            found = ServiceView(self.services[service_name], agents, placeable)
+            self.views[service_name] = found
+        return found
+
+    def service_at(self, address: Address) -> Service | None:
+        """Return the service that callers reach at `address`."""
+        return self.services_by_address.get(address)
+
+    def peers_of(self, host_name: str) -> list[Host]:
+        """Return the other agents that share a service with a host, withdrawn ones left out."""
+        found: dict[str, Host] = {}
+        for service_name in self.services_of_host.get(host_name, ()):
+            for host in self.view(service_name).agents:
+                found[host.name] = host
+        found.pop(host_name, None)
+        return [found[name] for name in sorted(found)]
+
+    @cached_property
+    def ring(self) -> list[Host]:
+        """Return every host in one hashed order that all processes compute."""
+        return sorted(self.hosts.values(), key=lambda host: (short_id(host.name), host.name))
+
+    @cached_property
+    def ring_positions(self) -> dict[str, int]:
+        """Return each host's index in `ring`."""
+        return {host.name: index for index, host in enumerate(self.ring)}
+
+    @cached_property
+    def segments(self) -> dict[str, Segment]:
+        """Return the hosts that watch one another: a withdrawn failure domain keeps to itself."""
+        members: dict[str, list[Host]] = {}
+        for host in self.ring:
+            withdrawn = host.failure_domain in self.withdrawn
+            members.setdefault(host.failure_domain if withdrawn else "", []).append(host)
+        return {name: Segment(hosts) for name, hosts in members.items()}
+
+    def segment_of(self, host_name: str) -> Segment | None:
+        """Return the segment of a host, None for an unknown host."""
+        host = self.hosts.get(host_name)
+        if host is None:
+            return None
+        withdrawn = host.failure_domain in self.withdrawn
+        return self.segments[host.failure_domain if withdrawn else ""]
+
+    def balancers(self) -> list[Host]:
+        """Return the hosts that run a balancer."""
+        return [host for host in self.document.hosts if host.role is Role.BALANCER]
--- /dev/null
+++ b/src/heatheryoke/daemons/application.py
@@ -0,0 +1,367 @@
+"""The application around a reducer: sockets and timers in, effects out, on one loop."""
+
+import asyncio
+import os
+import secrets
+import signal
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+import reactivex
+from loguru import logger
+from reactivex.subject import Subject
+
+from heatheryoke.core.agent import Agent
+from heatheryoke.core.balancer import Balancer
+from heatheryoke.core.effects import (
+    AnswerCaller,
+    BindFlow,
+    CloseFlow,
+    Count,
+    Deliver,
+    DiscardQueued,
+    FetchConfiguration,
+    LogChange,
+    Measure,
+    SendForward,
+    SendPeer,
+    Stopped,
+)
+from heatheryoke.core.events import (
+    CallerPacket,
+    ConfigurationOffered,
+    Event,
+    FlowBound,
+    ForwardArrived,
+    PeerMessageArrived,
+    PlatformUnavailable,
+    StopRequested,
+    Tick,
+    UpstreamGone,
+    UpstreamPacket,
+)
+from heatheryoke.core.flows import FlowKey, PacketKind, flow_key, flow_tuple
+from heatheryoke.core.node import TICK_S, Node
+from heatheryoke.daemons.datagrams import RECEIVE_BUFFER_BYTES, DatagramPort
+from heatheryoke.daemons.metrics import Metrics
+from heatheryoke.daemons.platform_client import PlatformClient
+from heatheryoke.daemons.settings import Settings
+from heatheryoke.daemons.status import StatusServer
+from heatheryoke.inventory.document import Address, Document, Protocol
+from heatheryoke.wire.coap import CoapCodec
+from heatheryoke.wire.control import decode_control, encode_control
+from heatheryoke.wire.envelope import BadEnvelope, EnvelopeCodec, EnvelopeKind
+from heatheryoke.wire.forward import decode_forward, encode_forward
+from heatheryoke.wire.proxy_header import decode_proxied, encode_proxied
+
+__all__ = ["AgentApplication", "Application", "BalancerApplication"]
+
+EXIT_STOPPED_AT_ONCE = 3
+FAULT_COUNTER = "faults"
+
+
+class Application(ABC):
+    """Owns a reducer's sockets and clients from `start` to `close`.
+
+    Sources feed three subjects, which are merged into the reducer's one stream of events.
+    """
+
+    def __init__(self, settings: Settings, clock: Callable[[], float] = time.monotonic):
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = time.time_ns()
+        self.node = self.make_node()
+        self.metrics = Metrics(self.node)
+        self.envelopes = EnvelopeCodec(settings.shared_key, secrets.randbits(64))
+        self.packets: Subject[Event] = Subject()
+        self.timers: Subject[Event] = Subject()
+        self.configurations: Subject[Event] = Subject()
+        self.control: DatagramPort | None = None
+        self.status = StatusServer(self.node, self.metrics, clock)
+        self.platform = PlatformClient(
+            settings.platform_url,
+            self.on_document,
+            self.on_platform_unavailable,
+            lambda: self.node.epoch,
+            self.node.watches_platform,
+        )
+        self.stopped = asyncio.Event()
+        self.ticker: asyncio.TimerHandle | None = None
+        self.effect_handlers: dict[type, Callable[[Any], None]] = {
+            SendForward: self.send_forward,
+            SendPeer: self.send_peer,
+            FetchConfiguration: self.fetch_configuration,
+            DiscardQueued: self.discard_queued,
+            Count: self.count,
+            Measure: self.measure,
+            LogChange: self.log_change,
+            Stopped: self.note_stopped,
+        }
+
+    @abstractmethod
+    def make_node(self) -> Node:
+        """Return the reducer of this role."""
+
+    def ports(self) -> list[DatagramPort]:
+        """Return the sockets that are open."""
+        return [self.control] if self.control else []
+
+    # Life cycle
+
+    async def start(self) -> None:
+        """Open everything; an `OSError` tells that an address is taken."""
+        loop = asyncio.get_running_loop()
+        merged = reactivex.merge(self.packets, self.timers, self.configurations)
+        merged.subscribe(self.step)
+        self.control = DatagramPort(
+            loop, self.settings.address, self.on_datagram, buffer_bytes=RECEIVE_BUFFER_BYTES
+        )
+        await self.status.start(self.settings.status_address)
+        self.platform.start()
+        self.tick()
+        logger.info("{} started", self.settings.name)
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop; `stopped` is set at its end."""
+        self.timers.on_next(StopRequested(self.clock()))
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        if self.ticker is not None:
+            self.ticker.cancel()
+        await self.platform.close()
+        await self.status.close()
+        for port in self.ports():
+            port.close()
+        for subject in (self.packets, self.timers, self.configurations):
+            subject.on_completed()
+        logger.info("{} stopped", self.settings.name)
+
+    async def run(self) -> int:
+        """Run until stopped by a signal; return the exit code."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.on_signal)
+        await self.start()
+        await self.stopped.wait()
+        await self.close()
+        return 0
+
+    def on_signal(self) -> None:
+        """Stop gracefully at the first signal, at once at the second."""
+        if self.node.stopping_since is not None:
+            logger.warning("{} stopped at once", self.settings.name)
+            os._exit(EXIT_STOPPED_AT_ONCE)
+        self.request_stop()
+
+    # Events in
+
+    def step(self, event: Event) -> None:
+        """Reduce one event and carry out its effects; a fault ends the event, not the process."""
+        handlers = self.effect_handlers
+        try:
+            for effect in self.node.reduce(event):
+                handlers[type(effect)](effect)
+        except Exception:
+            self.metrics.count(FAULT_COUNTER, 1)
+            logger.exception("{}: fault in {}", self.settings.name, type(event).__name__)
+
+    def tick(self) -> None:
+        """Send a tick and plan the next."""
+        self.ticker = asyncio.get_running_loop().call_later(TICK_S, self.tick)
+        self.timers.on_next(Tick(self.clock()))
+
+    def on_document(self, document: Document) -> None:
+        """Take a document from the platform."""
+        self.configurations.on_next(ConfigurationOffered(self.clock(), document))
+
+    def on_platform_unavailable(self) -> None:
+        """Note a failed read of the platform."""
+        self.configurations.on_next(PlatformUnavailable(self.clock()))
+
+    def on_datagram(self, data: bytes, sender: Address) -> None:
+        """Take a datagram from another process; a bad one is counted and dropped."""
+        envelope = self.envelopes.open(data)
+        if isinstance(envelope, BadEnvelope):
+            self.metrics.count(f"bad_datagrams_{envelope.value}", 1)
+            return
+        if envelope.kind is EnvelopeKind.FORWARD:
+            forward = decode_forward(envelope.body)
+            if forward is None:
+                self.metrics.count("bad_datagrams_malformed", 1)
+                return
+            self.packets.on_next(ForwardArrived(self.clock(), sender, envelope.epoch, forward))
+            return
+        message = decode_control(envelope.body)
+        if message is None:
+            self.metrics.count("bad_datagrams_malformed", 1)
+            return
+        self.packets.on_next(PeerMessageArrived(self.clock(), sender, envelope.epoch, message))
+
+    # Effects out
+
+    def send_forward(self, effect: SendForward) -> None:
+        """Send a caller's packet to another process."""
+        body = encode_forward(effect.message)
+        self.control.send(
+            self.envelopes.seal(EnvelopeKind.FORWARD, self.node.epoch, body), effect.to
+        )
+
+    def send_peer(self, effect: SendPeer) -> None:
+        """Send a control message."""
+        body = encode_control(effect.message)
+        data = self.envelopes.seal(EnvelopeKind.CONTROL, self.node.epoch, body)
+        self.metrics.count("control_bytes_sent", len(data))
+        self.control.send(data, effect.to)
+
+    def fetch_configuration(self, effect: FetchConfiguration) -> None:
+        """Read the platform."""
+        self.platform.read_soon()
+
+    def discard_queued(self, effect: DiscardQueued) -> None:
+        """Empty every socket's queue."""
+        for port in self.ports():
+            self.metrics.count("dropped_after_pause", port.discard_queued())
+
+    def count(self, effect: Count) -> None:
+        """Add to a counter."""
+        self.metrics.count(effect.name, effect.amount)
+
+    def measure(self, effect: Measure) -> None:
+        """Add to a histogram."""
+        self.metrics.measure(*effect)
+
+    def log_change(self, effect: LogChange) -> None:
+        """Log a change of state."""
+        logger.info("{}: {} {} ({})", self.settings.name, *effect)
+
+    def note_stopped(self, effect: Stopped) -> None:
+        """Let `run` end."""
+        self.stopped.set()
+
+
+class BalancerApplication(Application):
+    """A balancer's process."""
+
+    fabric: DatagramPort | None = None
+
+    def make_node(self) -> Balancer:
+        """Return a balancer's reducer."""
+        settings = self.settings
+        return Balancer(settings.name, self.incarnation, settings.address, settings.peers)
+
+    def ports(self) -> list[DatagramPort]:
+        """Return the sockets that are open."""
+        return super().ports() + ([self.fabric] if self.fabric else [])
+
+    async def start(self) -> None:
+        """Open the fabric's socket too."""
+        await super().start()
+        self.fabric = DatagramPort(
+            asyncio.get_running_loop(),
+            self.settings.fabric_listen,
+            self.on_fabric_datagram,
+            buffer_bytes=RECEIVE_BUFFER_BYTES,
+        )
+
+    def on_fabric_datagram(self, data: bytes, sender: Address) -> None:
+        """Take a caller's datagram from the fabric."""
+        proxied = decode_proxied(data)
+        if proxied is None:
+            self.metrics.count("bad_datagrams_proxy_header", 1)
+            return
+        flow = proxied.flow
+        self.packets.on_next(
+            CallerPacket(
+                self.clock(), flow_key(flow), flow.service, PacketKind.EITHER, proxied.payload
+            )
+        )
+
+
+class AgentApplication(Application):
+    """An agent's process, with one local port for each flow that it owns."""
+
+    def __init__(self, settings: Settings, clock: Callable[[], float] = time.monotonic):
+        super().__init__(settings, clock)
+        self.flow_ports: dict[FlowKey, DatagramPort] = {}
+        self.egress: DatagramPort | None = None
+        self.effect_handlers |= {
+            BindFlow: self.bind_flow,
+            Deliver: self.deliver,
+            AnswerCaller: self.answer_caller,
+            CloseFlow: self.close_flow,
+        }
+
+    def make_node(self) -> Agent:
+        """Return an agent's reducer."""
+        settings = self.settings
+        first_start = settings.first_start_until
+        return Agent(
+            settings.name,
+            self.incarnation,
+            self.clock(),
+            {Protocol.COAP: CoapCodec},
+            settings.peers,
+            unix_offset_s=time.time() - self.clock(),
+            first_start=first_start is not None and first_start.timestamp() > time.time(),
+        )
+
+    def ports(self) -> list[DatagramPort]:
+        """Return the sockets that are open."""
+        egress = [self.egress] if self.egress else []
+        return [*super().ports(), *egress, *self.flow_ports.values()]
+
+    async def start(self) -> None:
+        """Open the socket for answers too."""
+        self.egress = DatagramPort(
+            asyncio.get_running_loop(),
+            Address(self.settings.address.ip, 0),
+            lambda data, sender: None,
+        )
+        await super().start()
+
+    def bind_flow(self, effect: BindFlow) -> None:
+        """Bind a flow's local port, another one where it is taken."""
+        for port in (effect.local_port, 0):
+            try:
+                bound = self.open_flow_port(effect, port)
+            except OSError:
+                self.metrics.count("local_ports_taken", 1)
+                continue
+            self.flow_ports[effect.flow] = bound
+            self.packets.on_next(FlowBound(self.clock(), effect.flow, bound.address.port))
+            return
+
+    def open_flow_port(self, effect: BindFlow, port: int) -> DatagramPort:
+        """Open a flow's socket towards the upstream."""
+        flow = effect.flow
+        return DatagramPort(
+            asyncio.get_running_loop(),
+            Address(self.settings.upstream_bind, port),
+            lambda data, sender: self.on_upstream_datagram(flow, data),
+            connect=effect.upstream,
+            refused=lambda: self.packets.on_next(UpstreamGone(self.clock(), flow)),
+        )
+
+    def on_upstream_datagram(self, flow: FlowKey, data: bytes) -> None:
+        """Take a datagram that the upstream sent to a flow's port."""
+        self.packets.on_next(UpstreamPacket(self.clock(), flow, data))
+
+    def deliver(self, effect: Deliver) -> None:
+        """Hand a datagram to the upstream."""
+        port = self.flow_ports.get(effect.flow)
+        if port is not None:
+            port.send(effect.payload)
+
+    def answer_caller(self, effect: AnswerCaller) -> None:
+        """Send an answer to a caller by way of the fabric."""
+        data = encode_proxied(flow_tuple(effect.flow), effect.payload)
+        self.egress.send(data, self.settings.fabric_egress)
+
+    def close_flow(self, effect: CloseFlow) -> None:
+        """Close a flow's local port."""
+        port = self.flow_ports.pop(effect.flow, None)
+        if port is not None:
+            port.close()
--- /dev/null
+++ b/src/heatheryoke/daemons/datagrams.py
@@ -0,0 +1,99 @@
+"""Datagram sockets on the loop, read in batches."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from heatheryoke.inventory.document import Address
+
+__all__ = ["DatagramPort"]
+
+BATCH = 64
+MAXIMUM_DATAGRAM = 65_535
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+Receiver = Callable[[bytes, Address], None]
+
+
+class DatagramPort:
+    """One UDP socket; `receive` is called for each datagram, `refused` when no peer listens."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        bind: Address,
+        receive: Receiver,
+        connect: Address | None = None,
+        refused: Callable[[], None] | None = None,
+        buffer_bytes: int = 0,
+    ):
+        self.loop = loop
+        self.receive = receive
+        self.refused = refused
+        self.send_failures = 0
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        if buffer_bytes:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        try:
+            self.socket.bind(bind)
+            if connect is not None:
+                self.socket.connect(connect)
+        except OSError:
+            self.socket.close()
+            raise
+        loop.add_reader(self.socket.fileno(), self.read_batch)
+
+    @property
+    def address(self) -> Address:
+        """The address that the socket is bound to."""
+        return Address(*self.socket.getsockname())
+
+    def close(self) -> None:
+        """Stop reading and close the socket."""
+        if self.socket.fileno() >= 0:
+            self.loop.remove_reader(self.socket.fileno())
+            self.socket.close()
+
+    def send(self, data: bytes, to: Address | None = None) -> None:
+        """Send a datagram; one that the socket does not take is dropped and counted."""
+        try:
+            if to is None:
+                self.socket.send(data)
+            else:
+                self.socket.sendto(data, to)
+        except ConnectionRefusedError:
+            self.notify_refused()
+        except OSError:
+            self.send_failures += 1
+
+    def read_batch(self) -> None:
+        """Read what waits, up to a batch, so that timers are served in between."""
+        for _ in range(BATCH):
+            try:
+                data, sender = self.socket.recvfrom(MAXIMUM_DATAGRAM)
+            except ConnectionRefusedError:
+                self.notify_refused()
+                continue
+            except OSError:
+                return
+            self.receive(data, Address(*sender))
+            if self.socket.fileno() < 0:
+                return
+
+    def discard_queued(self) -> int:
+        """Drop every datagram that waits; return how many there were."""
+        dropped = 0
+        while True:
+            try:
+                self.socket.recv(1)
+            except ConnectionRefusedError:
+                continue
+            except OSError:
+                return dropped
+            dropped += 1
+
+    def notify_refused(self) -> None:
+        """Report that the connected peer has no socket."""
+        if self.refused is not None:
+            self.refused()
--- /dev/null
+++ b/src/heatheryoke/daemons/metrics.py
@@ -0,0 +1,107 @@
+"""Metrics of one process, for Prometheus."""
+
+from collections.abc import Callable, Iterator
+
+from prometheus_client import CollectorRegistry, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+from heatheryoke.core.agent import Agent
+from heatheryoke.core.node import Node
+
+__all__ = ["Metrics"]
+
+BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
+HISTOGRAM_HELP = {
+    "wait_seconds": "Time from a request's arrival to its start at the upstream.",
+    "service_seconds": "Time from a request's start at the upstream to its answer.",
+}
+
+
+class EventCounters(Collector):
+    """Plain integers, which cost the hot path less than the library's own counters."""
+
+    def __init__(self):
+        self.totals: dict[str, int] = {}
+
+    def add(self, name: str, amount: int) -> None:
+        """Add to the counter of an event."""
+        self.totals[name] = self.totals.get(name, 0) + amount
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return every counter under one name, labelled by event."""
+        family = CounterMetricFamily("heatheryoke_events", "Events by name.", labels=["event"])
+        for name, total in sorted(self.totals.items()):
+            family.add_metric([name], total)
+        yield family
+
+
+class Metrics:
+    """A registry of its own, so that several processes' metrics can live in one program."""
+
+    def __init__(self, node: Node):
+        self.node = node
+        self.registry = CollectorRegistry()
+        self.events = EventCounters()
+        self.registry.register(self.events)
+        self.histograms = {
+            name: Histogram(
+                f"heatheryoke_{name}",
+                text,
+                ["tenant", "request_class"],
+                buckets=BUCKETS_S,
+                registry=self.registry,
+            )
+            for name, text in HISTOGRAM_HELP.items()
+        }
+        self.add_gauges()
+
+    def add_gauges(self) -> None:
+        """Add the gauges that are read from the reducer at each scrape."""
+        node = self.node
+        self.gauge("epoch", "Version of the configuration in force.", lambda: node.epoch)
+        self.gauge("suspected_hosts", "Hosts that are suspected.", self.suspected)
+        if isinstance(node, Agent):
+            self.gauge("flows_owned", "Flows owned.", lambda: len(node.flows))
+            self.gauge("directory_entries", "Directory entries.", lambda: len(node.directory))
+            self.gauge("requests_pending", "Requests open.", lambda: len(node.engine.pending))
+            self.upstream_limit = Gauge(
+                "heatheryoke_upstream_limit",
+                "Requests that an upstream may have in progress now.",
+                ["service"],
+                registry=self.registry,
+            )
+            self.upstream_slots = Gauge(
+                "heatheryoke_upstream_slots",
+                "The most that the limit may become.",
+                ["service"],
+                registry=self.registry,
+            )
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add one gauge with a function that reads it."""
+        Gauge(f"heatheryoke_{name}", text, registry=self.registry).set_function(read)
+
+    def suspected(self) -> int:
+        """Return how many hosts are suspected."""
+        return len(self.node.membership.suspected_since)
+
+    def count(self, name: str, amount: int) -> None:
+        """Add to the counter of an event."""
+        self.events.add(name, amount)
+
+    def measure(self, name: str, tenant: str, request_class: str, value: float) -> None:
+        """Add a value to a histogram."""
+        self.histograms[name].labels(tenant, request_class).observe(value)
+
+    def counters(self) -> dict[str, int]:
+        """Return every counter by the name of its event."""
+        return dict(sorted(self.events.totals.items()))
+
+    def exposition(self) -> bytes:
+        """Return the text that Prometheus reads."""
+        if isinstance(self.node, Agent):
+            for service, admission in self.node.engine.admissions.items():
+                self.upstream_limit.labels(service).set(admission.limit)
+                self.upstream_slots.labels(service).set(admission.slots)
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/heatheryoke/daemons/platform_client.py
@@ -0,0 +1,120 @@
+"""Reads and watches the platform's configuration service over HTTP.
+
+    GET /v1/inventory?after=VERSION&wait=SECONDS
+
+answers 200 with the document as soon as one newer than VERSION is there, or 304 after SECONDS.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+from loguru import logger
+from returns.result import Success
+
+from heatheryoke.inventory.checks import check_document
+from heatheryoke.inventory.document import Document, decode_document
+
+__all__ = ["PlatformClient"]
+
+WATCH_S = 25
+READ_TIMEOUT_S = 3.0
+RETRY_S = 1.0
+IDLE_S = 1.0
+
+
+class PlatformClient:
+    """Offers checked documents; a failed call is reported, and tried again later."""
+
+    def __init__(
+        self,
+        url: str,
+        offer: Callable[[Document], None],
+        unavailable: Callable[[], None],
+        version: Callable[[], int],
+        watches: Callable[[], bool],
+    ):
+        self.url = f"{url}/v1/inventory"
+        self.offer = offer
+        self.unavailable = unavailable
+        self.version = version
+        self.watches = watches
+        self.session: aiohttp.ClientSession | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.reading = False
+        self.is_up = True
+
+    def start(self) -> None:
+        """Open the session and begin to watch."""
+        self.session = aiohttp.ClientSession()
+        self.spawn(self.watch())
+
+    async def close(self) -> None:
+        """End every call."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.session is not None:
+            await self.session.close()
+
+    def spawn(self, coroutine) -> None:
+        """Run a call, and keep it until it ends."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def read_soon(self) -> None:
+        """Read the document now, unless a read is under way."""
+        if not self.reading:
+            self.reading = True
+            self.spawn(self.read())
+
+    async def read(self) -> None:
+        """Read the document once."""
+        try:
+            await self.call(wait_s=0)
+        finally:
+            self.reading = False
+
+    async def watch(self) -> None:
+        """Keep a watch open for as long as this process is one of the watchers."""
+        while True:
+            if not self.watches():
+                await asyncio.sleep(IDLE_S)
+            elif not await self.call(wait_s=WATCH_S):
+                await asyncio.sleep(RETRY_S)
+
+    async def call(self, wait_s: int) -> bool:
+        """Make one call; tell whether the platform answered."""
+        params = {"after": str(self.version()), "wait": str(wait_s)}
+        timeout = aiohttp.ClientTimeout(total=wait_s + READ_TIMEOUT_S)
+        try:
+            async with self.session.get(self.url, params=params, timeout=timeout) as response:
+                if response.status == 200:
+                    self.take(await response.read())
+                answered = response.status in (200, 304)
+        except (aiohttp.ClientError, TimeoutError):
+            answered = False
+        self.note(answered)
+        return answered
+
+    def take(self, data: bytes) -> None:
+        """Check a document and offer it."""
+        decoded = decode_document(data)
+        if not isinstance(decoded, Success):
+            logger.warning("platform document refused: {}", decoded.failure())
+            return
+        document = decoded.unwrap()
+        problems = check_document(document)
+        if problems:
+            logger.warning("platform document {} refused: {}", document.version, problems[0])
+            return
+        self.offer(document)
+
+    def note(self, answered: bool) -> None:
+        """Log when the platform's availability changes."""
+        if answered != self.is_up:
+            self.is_up = answered
+            logger.info("platform {}", "available" if answered else "unavailable")
+        if not answered:
+            self.unavailable()
--- /dev/null
+++ b/src/heatheryoke/daemons/settings.py
@@ -0,0 +1,274 @@
+"""Settings of a daemon, read from an INI file and checked whole before anything opens."""
+
+import configparser
+from collections.abc import Callable
+from datetime import datetime
+from enum import StrEnum
+from ipaddress import IPv4Address
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from heatheryoke.inventory.document import Address, Role
+
+__all__ = ["SETTINGS", "LogFormat", "Setting", "SettingProblem", "Settings", "read_settings"]
+
+MINIMUM_KEY_BYTES = 16
+
+
+class LogFormat(StrEnum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class SettingProblem(NamedTuple):
+    """One setting that cannot be used."""
+
+    file: str
+    section: str
+    key: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: [{self.section}] {self.key} = {self.value!r}: {self.reason}"
+
+
+class Settings(NamedTuple):
+    """The checked settings of one daemon. An absent address is None."""
+
+    name: str
+    failure_domain: str
+    address: Address
+    shared_key: bytes
+    peers: tuple[Address, ...]
+    platform_url: str
+    fabric_egress: Address | None
+    fabric_listen: Address | None
+    status_address: Address
+    log_format: LogFormat
+    log_level: str
+    upstream_bind: str
+    first_start_until: datetime | None
+
+
+class Setting(NamedTuple):
+    """What is known of one setting; a required one has no default."""
+
+    field: str
+    section: str
+    key: str
+    parse: Callable[[str], Any]
+    roles: tuple[Role, ...]
+    default: str | None
+    help: str
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in `ip:port`."""
+    ip, separator, port = text.rpartition(":")
+    if not separator:
+        raise ValueError("must be ip:port")
+    number = int(port) if port.isdecimal() else 0
+    if not 0 < number < 65_536:
+        raise ValueError("port must be between 1 and 65535")
+    return Address(str(IPv4Address(ip)), number)
+
+
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Return the addresses in a list separated by commas."""
+    return tuple(parse_address(part.strip()) for part in text.split(",") if part.strip())
+
+
+def parse_name(text: str) -> str:
+    """Return a name of letters, digits, dots and dashes."""
+    if not text or not all(letter.isalnum() or letter in ".-_" for letter in text):
+        raise ValueError("must be letters, digits, '.', '-' or '_'")
+    return text
+
+
+def parse_key(text: str) -> bytes:
+    """Return the key in hexadecimal."""
+    try:
+        key = bytes.fromhex(text)
+    except ValueError:
+        raise ValueError("must be hexadecimal") from None
+    if not MINIMUM_KEY_BYTES <= len(key) <= 64:
+        raise ValueError(f"must be {MINIMUM_KEY_BYTES} to 64 bytes")
+    return key
+
+
+def parse_url(text: str) -> str:
+    """Return an HTTP URL without its last slash."""
+    if not text.startswith(("http://", "https://")):
+        raise ValueError("must begin with http:// or https://")
+    return text.rstrip("/")
+
+
+def parse_level(text: str) -> str:
+    """Return the name of a log level."""
+    levels = ("DEBUG", "INFO", "WARNING", "ERROR")
+    if text.upper() not in levels:
+        raise ValueError(f"must be one of {', '.join(levels)}")
+    return text.upper()
+
+
+def parse_ip(text: str) -> str:
+    """Return an IPv4 address."""
+    return str(IPv4Address(text))
+
+
+def parse_time(text: str) -> datetime | None:
+    """Return a time with its zone, None for an empty text."""
+    if not text:
+        return None
+    moment = datetime.fromisoformat(text)
+    if moment.tzinfo is None:
+        raise ValueError("must carry a time zone, as in 2030-01-31T12:00:00+00:00")
+    return moment
+
+
+BOTH = (Role.BALANCER, Role.AGENT)
+
+SETTINGS = (
+    Setting("name", "process", "name", parse_name, BOTH, None, "The host's name in the inventory."),
+    Setting(
+        "failure_domain",
+        "process",
+        "failure_domain",
+        parse_name,
+        BOTH,
+        None,
+        "The failure domain that the host stands in.",
+    ),
+    Setting(
+        "address",
+        "process",
+        "address",
+        parse_address,
+        BOTH,
+        None,
+        "Where other processes reach this one (UDP).",
+    ),
+    Setting(
+        "shared_key",
+        "process",
+        "shared_key",
+        parse_key,
+        BOTH,
+        None,
+        "The key of all processes, hexadecimal, 16 bytes or more.",
+    ),
+    Setting(
+        "peers",
+        "process",
+        "peers",
+        parse_addresses,
+        BOTH,
+        "",
+        "Processes to ask for the configuration while the platform is down.",
+    ),
+    Setting("platform_url", "platform", "url", parse_url, BOTH, None, "The configuration service."),
+    Setting(
+        "fabric_listen",
+        "fabric",
+        "listen",
+        parse_address,
+        (Role.BALANCER,),
+        None,
+        "Where the fabric hands over datagrams (UDP, PROXY protocol v2).",
+    ),
+    Setting(
+        "fabric_egress",
+        "fabric",
+        "egress",
+        parse_address,
+        (Role.AGENT,),
+        None,
+        "Where answers to callers are sent (UDP, PROXY protocol v2).",
+    ),
+    Setting(
+        "status_address",
+        "status",
+        "address",
+        parse_address,
+        BOTH,
+        None,
+        "Where status and metrics are served (HTTP).",
+    ),
+    Setting("log_format", "log", "format", LogFormat, BOTH, "text", "`text` or `json`."),
+    Setting("log_level", "log", "level", parse_level, BOTH, "INFO", "The least level logged."),
+    Setting(
+        "upstream_bind",
+        "agent",
+        "upstream_bind",
+        parse_ip,
+        (Role.AGENT,),
+        "127.0.0.1",
+        "The address from which upstreams are reached.",
+    ),
+    Setting(
+        "first_start_until",
+        "agent",
+        "first_start_until",
+        parse_time,
+        (Role.AGENT,),
+        "",
+        "Until this time the agent takes it that its services have never run before.",
+    ),
+)
+
+
+def read_settings(path: Path, role: Role) -> Result[Settings, tuple[SettingProblem, ...]]:
+    """Read and check a whole file; every problem is returned."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"), source=str(path))
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        return Failure((SettingProblem(str(path), "", "", "", _one_line(error)),))
+    problems = _unknown(path, parser, role)
+    values: dict[str, Any] = {}
+    for setting in SETTINGS:
+        if role not in setting.roles:
+            values[setting.field] = None
+            continue
+        problem = _read(path, parser, setting, values)
+        if problem is not None:
+            problems.append(problem)
+    return Failure(tuple(problems)) if problems else Success(Settings(**values))
+
+
+def _read(
+    path: Path, parser: configparser.ConfigParser, setting: Setting, values: dict[str, Any]
+) -> SettingProblem | None:
+    """Parse one setting into `values`; return the problem if there is one."""
+    text = parser.get(setting.section, setting.key, fallback=setting.default)
+    if text is None:
+        return SettingProblem(str(path), setting.section, setting.key, "", "is missing")
+    try:
+        values[setting.field] = setting.parse(text.strip())
+    except ValueError as error:
+        return SettingProblem(str(path), setting.section, setting.key, text, _one_line(error))
+    return None
+
+
+def _unknown(path: Path, parser: configparser.ConfigParser, role: Role) -> list[SettingProblem]:
+    """Return a problem for each section and key that the role does not have."""
+    known = {(row.section, row.key) for row in SETTINGS if role in row.roles}
+    sections = {section for section, _ in known}
+    problems: list[SettingProblem] = []
+    for section in parser.sections():
+        if section not in sections:
+            problems.append(SettingProblem(str(path), section, "", "", "unknown section"))
+            continue
+        for key, value in parser[section].items():
+            if (section, key) not in known:
+                problems.append(SettingProblem(str(path), section, key, value, "unknown key"))
+    return problems
+
+
+def _one_line(error: Exception) -> str:
+    return " ".join(str(error).split())
--- /dev/null
+++ b/src/heatheryoke/inventory/changes.py
@@ -0,0 +1,97 @@
+"""The difference between two documents, small enough to send to every process."""
+
+import zlib
+from typing import Any, NamedTuple
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from heatheryoke.inventory.document import Document, Endpoint, FailureDomain, Host, Service
+
+__all__ = ["Change", "ChangeMismatch", "apply_change", "decode_change", "document_digest"]
+__all__ += ["encode_change", "make_change"]
+
+
+class Change(NamedTuple):
+    """Rows to set and rows to remove, table by table, from version `base` to `version`.
+
+    `digest` is that of the resulting document.
+    """
+
+    base: int
+    version: int
+    digest: int
+    failure_domains: tuple[FailureDomain, ...]
+    hosts: tuple[Host, ...]
+    services: tuple[Service, ...]
+    endpoints: tuple[Endpoint, ...]
+    removed: tuple[tuple[str, str], ...]
+
+
+class ChangeMismatch(NamedTuple):
+    """A change that does not lead from the document held to the one it promises."""
+
+    reason: str
+
+    def __str__(self) -> str:
+        return f"change not applied: {self.reason}"
+
+
+TABLES = ("failure_domains", "hosts", "services", "endpoints")
+
+
+def document_digest(document: Document) -> int:
+    """Return a 64-bit digest of a document's content, whatever the order of its rows."""
+    ordered = {table: sorted(_rows(document, table).items()) for table in TABLES}
+    return xxhash.xxh3_64_intdigest(msgspec.json.encode((document.version, ordered)))
+
+
+def _rows(document: Document, table: str) -> dict[str, Any]:
+    rows = getattr(document, table)
+    if table == "endpoints":
+        return {f"{row.service}\n{row.host}": row for row in rows}
+    return {row.name: row for row in rows}
+
+
+def make_change(old: Document, new: Document) -> Change:
+    """Return what leads from `old` to `new`."""
+    changed: dict[str, tuple[Any, ...]] = {}
+    removed: list[tuple[str, str]] = []
+    for table in TABLES:
+        before = _rows(old, table)
+        after = _rows(new, table)
+        changed[table] = tuple(row for key, row in after.items() if before.get(key) != row)
+        removed += [(table, key) for key in before if key not in after]
+    digest = document_digest(new)
+    return Change(old.version, new.version, digest, removed=tuple(removed), **changed)
+
+
+def apply_change(old: Document, change: Change) -> Result[Document, ChangeMismatch]:
+    """Return the document that `change` leads to from `old`."""
+    if old.version != change.base:
+        return Failure(ChangeMismatch(f"base {change.base}, held {old.version}"))
+    tables = {table: _rows(old, table) for table in TABLES}
+    for table, key in change.removed:
+        tables.get(table, {}).pop(key, None)
+    for table in TABLES:
+        for row in getattr(change, table):
+            key = f"{row.service}\n{row.host}" if table == "endpoints" else row.name
+            tables[table][key] = row
+    new = Document(change.version, *(tuple(tables[table].values()) for table in TABLES))
+    if document_digest(new) != change.digest:
+        return Failure(ChangeMismatch("digests differ"))
+    return Success(new)
+
+
+def encode_change(change: Change) -> bytes:
+    """Return the form that travels between processes."""
+    return zlib.compress(msgspec.json.encode(change))
+
+
+def decode_change(data: bytes) -> Result[Change, ChangeMismatch]:
+    """Read the form that travels between processes."""
+    try:
+        return Success(msgspec.json.decode(zlib.decompress(data), type=Change))
+    except (zlib.error, msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(ChangeMismatch(str(error)))
--- /dev/null
+++ b/src/heatheryoke/inventory/importer.py
@@ -0,0 +1,252 @@
+"""Import of the asset register's CSV, with the operators' rules, into a document.
+
+The CSV has one row for each thing, told apart by the column `kind`; see `COLUMNS`.
+"""
+
+import configparser
+import csv
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from heatheryoke.inventory.checks import check_document
+from heatheryoke.inventory.document import (
+    MAXIMUM_DOCUMENT_BYTES,
+    Address,
+    Document,
+    Endpoint,
+    FailureDomain,
+    Host,
+    HostState,
+    Protocol,
+    Role,
+    Service,
+    encode_document,
+)
+
+__all__ = ["COLUMNS", "ImportProblem", "import_inventory"]
+
+COLUMNS = {
+    "failure_domain": ("name", "region"),
+    "host": ("name", "failure_domain", "role", "address"),
+    "service": ("name", "address", "tenant", "protocol"),
+    "endpoint": ("service", "host", "address", "slots", "connections"),
+}
+
+
+class ImportProblem(NamedTuple):
+    """One reason why an import is refused, with where it lies."""
+
+    place: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.reason}"
+
+
+class Import:
+    """Tables under construction, and the problems found so far."""
+
+    def __init__(self):
+        self.rows: dict[str, list[Any]] = {kind: [] for kind in COLUMNS}
+        self.problems: list[ImportProblem] = []
+        self.version = 0
+
+    def document(self) -> Document:
+        """Return what has been read."""
+        return Document(
+            self.version,
+            tuple(self.rows["failure_domain"]),
+            tuple(self.rows["host"]),
+            tuple(self.rows["service"]),
+            tuple(self.rows["endpoint"]),
+        )
+
+    def note(self, place: str, reason: object) -> None:
+        """Add a problem."""
+        self.problems.append(ImportProblem(place, " ".join(str(reason).split())))
+
+    def find(self, kind: str, matches: Callable[[Any], bool]) -> int | None:
+        """Return the index of the first row that matches."""
+        rows = self.rows[kind]
+        return next((index for index, row in enumerate(rows) if matches(row)), None)
+
+
+def import_inventory(
+    assets: Path, rules: Path
+) -> Result[tuple[Document, bytes], tuple[ImportProblem, ...]]:
+    """Read both files and check all of it; return the document and its published form."""
+    work = Import()
+    _read_assets(work, assets)
+    _read_rules(work, rules)
+    document = work.document()
+    for problem in check_document(document):
+        work.note(str(assets), problem)
+    published = encode_document(document)
+    if len(published) > MAXIMUM_DOCUMENT_BYTES:
+        work.note(str(assets), f"document has {len(published)} bytes, at most 1000000 allowed")
+    if work.problems:
+        return Failure(tuple(work.problems))
+    return Success((document, published))
+
+
+def _address(text: str) -> Address:
+    ip, _, port = text.rpartition(":")
+    if not ip or not port.isdecimal():
+        raise ValueError(f"address {text!r} must be ip:port")
+    return Address(ip, int(port))
+
+
+def _number(row: dict[str, str], column: str) -> int:
+    if not row[column].isdecimal():
+        raise ValueError(f"{column} must be a whole number, not {row[column]!r}")
+    return int(row[column])
+
+
+def _choice(kind: type[Role] | type[Protocol] | type[HostState], text: str) -> Any:
+    try:
+        return kind(text)
+    except ValueError:
+        allowed = ", ".join(member.value for member in kind)
+        raise ValueError(f"{text!r} is none of {allowed}") from None
+
+
+BUILDERS: dict[str, Callable[[dict[str, str]], Any]] = {
+    "failure_domain": lambda row: FailureDomain(row["name"], row["region"]),
+    "host": lambda row: Host(
+        row["name"],
+        _choice(Role, row["role"]),
+        row["failure_domain"],
+        _address(row["address"]),
+    ),
+    "service": lambda row: Service(
+        row["name"], _address(row["address"]), row["tenant"], _choice(Protocol, row["protocol"])
+    ),
+    "endpoint": lambda row: Endpoint(
+        row["service"],
+        row["host"],
+        _address(row["address"]),
+        _number(row, "slots"),
+        _number(row, "connections"),
+    ),
+}
+
+
+def _read_assets(work: Import, path: Path) -> None:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        work.note(str(path), error)
+        return
+    reader = csv.DictReader(text.splitlines())
+    for row in reader:
+        place = f"{path}: line {reader.line_num}"
+        kind = row.get("kind") or ""
+        if kind not in COLUMNS:
+            work.note(place, f"unknown kind {kind!r}")
+            continue
+        missing = [column for column in COLUMNS[kind] if not row.get(column)]
+        if missing:
+            work.note(place, f"{kind} lacks {', '.join(missing)}")
+            continue
+        try:
+            work.rows[kind].append(BUILDERS[kind](row))
+        except ValueError as error:
+            work.note(place, error)
+
+
+def _read_rules(work: Import, path: Path) -> None:
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"), source=str(path))
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        work.note(str(path), error)
+        return
+    if not parser.has_option("document", "version"):
+        work.note(str(path), "[document] version is missing")
+    for section in parser.sections():
+        kind, *names = section.split()
+        rule = RULES.get((kind, len(names)))
+        if rule is None:
+            work.note(f"{path}: [{section}]", "unknown section")
+            continue
+        for key, value in parser[section].items():
+            try:
+                rule(work, names, key, value.strip())
+            except ValueError as error:
+                work.note(f"{path}: [{section}] {key}", error)
+
+
+def _document_rule(work: Import, names: list[str], key: str, value: str) -> None:
+    if key != "version":
+        raise ValueError("unknown key")
+    if not value.isdecimal():
+        raise ValueError(f"must be a whole number, not {value!r}")
+    work.version = int(value)
+
+
+def _replace(work: Import, kind: str, matches: Callable[[Any], bool], **changes: Any) -> None:
+    index = work.find(kind, matches)
+    if index is None:
+        raise ValueError(f"the asset register has no such {kind}")
+    work.rows[kind][index] = work.rows[kind][index]._replace(**changes)
+
+
+def _domain_rule(work: Import, names: list[str], key: str, value: str) -> None:
+    if key != "withdrawn":
+        raise ValueError("unknown key")
+    withdrawn = configparser.ConfigParser.BOOLEAN_STATES.get(value.lower())
+    if withdrawn is None:
+        raise ValueError(f"must be yes or no, not {value!r}")
+    _replace(work, "failure_domain", lambda row: row.name == names[0], withdrawn=withdrawn)
+
+
+def _host_rule(work: Import, names: list[str], key: str, value: str) -> None:
+    if key != "state":
+        raise ValueError("unknown key")
+    state = _choice(HostState, value)
+    _replace(work, "host", lambda row: row.name == names[0], state=state)
+
+
+def _endpoint_rule(work: Import, names: list[str], key: str, value: str) -> None:
+    if key != "weight":
+        raise ValueError("unknown key")
+    _replace(
+        work,
+        "endpoint",
+        lambda row: (row.service, row.host) == tuple(names),
+        weight=float(value),
+    )
+
+
+SERVICE_RULES: dict[str, Callable[[str], Any]] = {
+    "floor": float,
+    "warm_answers": int,
+    "idle_s": float,
+    "request_id": str,
+    "apart_from": lambda text: tuple(part.strip() for part in text.split(",") if part.strip()),
+}
+
+
+def _service_rule(work: Import, names: list[str], key: str, value: str) -> None:
+    if key.startswith("weight."):
+        index = work.find("service", lambda row: row.name == names[0])
+        weights = dict(work.rows["service"][index].class_weights) if index is not None else {}
+        weights[key.removeprefix("weight.")] = float(value)
+        change: dict[str, Any] = {"class_weights": weights}
+    elif key in SERVICE_RULES:
+        change = {key: SERVICE_RULES[key](value)}
+    else:
+        raise ValueError("unknown key")
+    _replace(work, "service", lambda row: row.name == names[0], **change)
+
+
+RULES: dict[tuple[str, int], Callable[[Import, list[str], str, str], None]] = {
+    ("document", 0): _document_rule,
+    ("failure_domain", 1): _domain_rule,
+    ("host", 1): _host_rule,
+    ("endpoint", 2): _endpoint_rule,
+    ("service", 1): _service_rule,
+}
--- /dev/null
+++ b/src/heatheryoke/standins/caller.py
@@ -0,0 +1,122 @@
+"""Callers: a handset or display board with a flow of its own."""
+
+import asyncio
+from collections import Counter
+from enum import Enum
+
+import aiocoap
+from aiocoap.numbers import codes, types
+
+from heatheryoke.inventory.document import Address
+from heatheryoke.standins.upstream import SHEET_BYTES
+
+__all__ = ["Caller", "Reply"]
+
+TRANSPORTS = ["simple6"]
+
+
+class Reply(Enum):
+    """How a request ended, as its caller sees it."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    MIXED = "mixed"
+    SILENT = "silent"
+
+
+class Caller:
+    """One caller with one socket, which is one flow for each service."""
+
+    def __init__(self, service: Address):
+        self.base = f"coap://{service}"
+        self.context: aiocoap.Context | None = None
+        self.replies: Counter[Reply] = Counter()
+        self.notifications = 0
+        self.feed_restarts = 0
+        self.feed_owner = ""
+        self.owner_changes = 0
+        self.feed_task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Open the caller's socket."""
+        self.context = await aiocoap.Context.create_client_context(transports=TRANSPORTS)
+
+    async def close(self) -> None:
+        """End the feed and close the socket."""
+        if self.feed_task is not None:
+            self.feed_task.cancel()
+            await asyncio.gather(self.feed_task, return_exceptions=True)
+        if self.context is not None:
+            await self.context.shutdown()
+
+    async def request(self, message: aiocoap.Message, timeout_s: float) -> aiocoap.Message | None:
+        """Return the answer, None if there is none in time."""
+        try:
+            return await asyncio.wait_for(self.context.request(message).response, timeout_s)
+        except (TimeoutError, aiocoap.error.Error):
+            return None
+
+    async def write(self, path: str, identity: str, timeout_s: float = 10.0) -> Reply:
+        """Send one measurement or seat hold."""
+        uri = f"{self.base}/{path}?id={identity}"
+        message = aiocoap.Message(code=codes.POST, uri=uri, payload=identity.encode())
+        answer = await self.request(message, timeout_s)
+        return self.count(answer, lambda found: found.payload == b"ran " + identity.encode())
+
+    async def sheet(self, path: str, name: str, timeout_s: float = 10.0) -> Reply:
+        """Fetch one sheet of several blocks."""
+        message = aiocoap.Message(code=codes.GET, uri=f"{self.base}/{path}?{name}")
+        answer = await self.request(message, timeout_s)
+        expected = (f"{name};".encode() * SHEET_BYTES)[:SHEET_BYTES]
+        return self.count(answer, lambda found: found.payload == expected)
+
+    def count(self, answer: aiocoap.Message | None, is_own) -> Reply:
+        """Classify an answer."""
+        if answer is None:
+            reply = Reply.SILENT
+        elif answer.code == codes.SERVICE_UNAVAILABLE:
+            reply = Reply.REFUSED
+        elif answer.code == codes.GATEWAY_TIMEOUT:
+            reply = Reply.UNKNOWN
+        else:
+            reply = Reply.SERVED if is_own(answer) else Reply.MIXED
+        self.replies[reply] += 1
+        return reply
+
+    def open_feed(self, path: str) -> None:
+        """Keep a standing feed open; it is opened again whenever it ends."""
+        self.feed_task = asyncio.get_running_loop().create_task(self.follow(path))
+
+    async def follow(self, path: str) -> None:
+        """Read a feed, again and again."""
+        while True:
+            await self.follow_once(path)
+            self.feed_restarts += 1
+            await asyncio.sleep(0.2)
+
+    async def follow_once(self, path: str) -> None:
+        """Read a feed until it ends."""
+        message = aiocoap.Message(
+            code=codes.GET, uri=f"{self.base}/{path}", observe=0, mtype=types.CON
+        )
+        observed = self.context.request(message)
+        try:
+            self.note(await observed.response)
+            async for notification in observed.observation:
+                self.note(notification)
+        except aiocoap.error.Error:
+            return
+        finally:
+            if not observed.observation.cancelled:
+                observed.observation.cancel()
+
+    def note(self, notification: aiocoap.Message) -> None:
+        """Count a notification, and notice when another upstream sends them."""
+        if not notification.code.is_successful():
+            return
+        owner = notification.payload.split(b":")[0].decode()
+        if self.feed_owner and owner != self.feed_owner:
+            self.owner_changes += 1
+        self.feed_owner = owner
+        self.notifications += 1
--- /dev/null
+++ b/src/heatheryoke/standins/demo.py
@@ -0,0 +1,254 @@
+"""The demo: callers use a whole deployment while operators change it."""
+
+import asyncio
+import logging
+from collections import Counter
+from typing import NamedTuple
+
+from rich.console import Console
+from rich.live import Live
+from rich.table import Table
+
+from heatheryoke.core.agent import Agent
+from heatheryoke.daemons.application import FAULT_COUNTER
+from heatheryoke.inventory.document import HostState, Role
+from heatheryoke.standins.caller import Caller, Reply
+from heatheryoke.standins.deployments import Deployment
+from heatheryoke.standins.site import Site
+from heatheryoke.standins.upstream import UpstreamBehaviour
+
+__all__ = ["run_demo"]
+
+FEEDS = 28
+SHEET_CALLERS = 9
+SETTLE_S = 2.0
+STEP_S = 3.0
+WRITE_EVERY_S = 0.8
+SHEET_EVERY_S = 0.5
+EXIT_BROKEN = 1
+
+
+class Check(NamedTuple):
+    """One promise, with what was seen."""
+
+    promise: str
+    seen: str
+    kept: bool
+
+
+class Demo:
+    """Callers with standing feeds, writes and sheets, and the changes made meanwhile."""
+
+    def __init__(self, deployment: Deployment, seed: int):
+        self.deployment = deployment
+        self.site = Site(deployment, seed, UpstreamBehaviour(slots=deployment.slots))
+        self.feed_callers: list[Caller] = []
+        self.sheet_callers: list[Caller] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.writes = 0
+        self.stage = "starting"
+        self.imbalance = 0.0
+        self.broken_by_plan = 0
+        self.silent_after_s: float | None = None
+        self.replies_outside = Counter[Reply]()
+
+    # Life cycle
+
+    async def start(self) -> None:
+        """Start the deployment and its callers."""
+        await self.site.start_standins()
+        await self.site.start_processes()
+        await self.site.wait_for_epoch()
+        await asyncio.sleep(SETTLE_S)
+        main = self.site.service_address(self.deployment.main)
+        sheets = self.site.service_address(self.deployment.sheets)
+        loop = asyncio.get_running_loop()
+        for index in range(FEEDS):
+            caller = Caller(main)
+            await caller.start()
+            caller.open_feed(self.deployment.feed_path)
+            self.feed_callers.append(caller)
+            self.tasks.append(loop.create_task(self.write_often(caller, index)))
+        for index in range(SHEET_CALLERS):
+            caller = Caller(sheets)
+            await caller.start()
+            self.sheet_callers.append(caller)
+            self.tasks.append(loop.create_task(self.fetch_often(caller, index)))
+
+    async def close(self) -> None:
+        """Stop the callers and the deployment."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for caller in (*self.feed_callers, *self.sheet_callers):
+            await caller.close()
+        await self.site.close()
+
+    async def write_often(self, caller: Caller, index: int) -> None:
+        """Send writes, each again under its id until its outcome is known."""
+        while True:
+            await asyncio.sleep(WRITE_EVERY_S * (0.5 + self.site.random.random()))
+            self.writes += 1
+            identity = f"{index}-{self.writes}"
+            for _ in range(5):
+                reply = await caller.write(self.deployment.write_path, identity, 4.0)
+                if reply in (Reply.SERVED, Reply.MIXED):
+                    break
+                await asyncio.sleep(1.0)
+
+    async def fetch_often(self, caller: Caller, index: int) -> None:
+        """Fetch sheets."""
+        while True:
+            await asyncio.sleep(SHEET_EVERY_S * (0.5 + self.site.random.random()))
+            await caller.sheet(self.deployment.sheet_path, f"sheet{index}", 4.0)
+
+    # The changes
+
+    async def run(self) -> None:
+        """Make one change after another."""
+        self.stage = "steady"
+        await asyncio.sleep(STEP_S)
+        self.imbalance = self.measure_imbalance()
+        await self.replace_balancer()
+        await self.drain_upstream()
+        self.broken_by_plan = self.broken()
+        await self.withdraw_domain()
+
+    async def replace_balancer(self) -> None:
+        """Stop one balancer and start it anew."""
+        self.stage = "replacing a balancer"
+        await self.site.stop_process("balancer-1", graceful=False)
+        await asyncio.sleep(STEP_S / 2)
+        await self.site.start_process(self.site.host("balancer-1"))
+        await asyncio.sleep(STEP_S / 2)
+
+    async def drain_upstream(self) -> None:
+        """Drain one upstream and bring it back."""
+        self.stage = "draining an upstream"
+        self.site.set_host_state("upstream-1", HostState.DRAINING)
+        await asyncio.sleep(STEP_S)
+        self.site.set_host_state("upstream-1", HostState.ACTIVE)
+
+    async def withdraw_domain(self) -> None:
+        """Withdraw one failure domain and return it."""
+        self.stage = "withdrawing domain-3"
+        self.site.set_withdrawn("domain-3", True)
+        began = asyncio.get_running_loop().time()
+        await self.site.wait_for_epoch()
+        served = self.served_in("domain-3")
+        await asyncio.sleep(STEP_S)
+        if self.served_in("domain-3") == served:
+            self.silent_after_s = asyncio.get_running_loop().time() - began - STEP_S
+        self.stage = "returning domain-3"
+        self.site.set_withdrawn("domain-3", False)
+        await asyncio.sleep(STEP_S)
+
+    # Reading
+
+    def agents(self) -> list[Agent]:
+        """Return the agents' reducers."""
+        names = [host.name for host in self.site.hosts(Role.AGENT)]
+        applications = self.site.applications
+        return [applications[name].node for name in names if name in applications]
+
+    def served_in(self, domain: str) -> int:
+        """Return how many requests the upstreams of a failure domain have served."""
+        names = [host.name for host in self.site.document.hosts if host.failure_domain == domain]
+        return sum(
+            self.site.upstreams[name].served for name in names if name in self.site.upstreams
+        )
+
+    def measure_imbalance(self) -> float:
+        """Return the busiest agent's flows of the main service over their mean."""
+        counts = [
+            agent.flows.count(self.deployment.main)
+            for agent in self.agents()
+            if (self.deployment.main, agent.host_name) in agent.topology.endpoints
+        ]
+        return max(counts) * len(counts) / max(1, sum(counts))
+
+    def broken(self) -> int:
+        """Return how many feeds have ended or changed their upstream."""
+        return sum(
+            1 for caller in self.feed_callers if caller.feed_restarts or caller.owner_changes
+        )
+
+    def replies(self, callers: list[Caller]) -> Counter[Reply]:
+        """Return the replies of some callers."""
+        return sum((caller.replies for caller in callers), Counter())
+
+    def progress(self) -> str:
+        """Return one line on how it stands."""
+        writes = self.replies(self.feed_callers)[Reply.SERVED]
+        sheets = self.replies(self.sheet_callers)[Reply.SERVED]
+        news = sum(caller.notifications for caller in self.feed_callers)
+        return f"{self.stage}: {writes} writes, {sheets} sheets, {news} notifications"
+
+    def checks(self) -> list[Check]:
+        """Return each promise with what was seen."""
+        doubled = len(self.site.ledger.doubled())
+        everyone = self.replies([*self.feed_callers, *self.sheet_callers])
+        overloads = sum(upstream.cold_overloads for upstream in self.site.upstreams.values())
+        faults = sum(
+            application.metrics.counters().get(FAULT_COUNTER, 0)
+            for application in self.site.applications.values()
+        )
+        silent = self.silent_after_s
+        return [
+            Check(
+                "feeds broken by planned changes", str(self.broken_by_plan), not self.broken_by_plan
+            ),
+            Check("writes run twice", str(doubled), not doubled),
+            Check("answers mixed up", str(everyone[Reply.MIXED]), not everyone[Reply.MIXED]),
+            Check("overloads of cold upstreams", str(overloads), not overloads),
+            Check(
+                "withdrawn domain silent within 5 s",
+                "no" if silent is None else f"{max(0.0, silent):.2f} s",
+                silent is not None and silent <= 5.0,
+            ),
+            Check("faults in processes", str(faults), not faults),
+        ]
+
+    def service_table(self) -> Table:
+        """Return the requests by class and outcome."""
+        table = Table("class", *(reply.value for reply in Reply), title="requests")
+        classes = (
+            (self.deployment.write_path, self.feed_callers),
+            (self.deployment.sheet_path, self.sheet_callers),
+        )
+        for name, callers in classes:
+            counts = self.replies(callers)
+            table.add_row(name, *(str(counts[reply]) for reply in Reply))
+        return table
+
+    def check_table(self, checks: list[Check]) -> Table:
+        """Return the promises, and the measures beside them."""
+        table = Table("promise or measure", "seen", "kept")
+        for check in checks:
+            table.add_row(check.promise, check.seen, "yes" if check.kept else "BROKEN")
+        table.add_row("feeds restarted in all", str(self.broken()), "")
+        table.add_row("imbalance of flows (busiest / mean)", f"{self.imbalance:.2f}", "")
+        everyone = self.replies([*self.feed_callers, *self.sheet_callers])
+        kept = everyone[Reply.SERVED] / max(1, everyone.total())
+        table.add_row("service kept (served / asked)", f"{kept:.3f}", "")
+        return table
+
+
+async def run_demo(deployment: Deployment, seed: int, console: Console) -> int:
+    """Run the demo; return the exit code."""
+    logging.getLogger("coap").setLevel(logging.CRITICAL)
+    demo = Demo(deployment, seed)
+    await demo.start()
+    try:
+        with Live(console=console, refresh_per_second=4, transient=True) as live:
+            changes = asyncio.get_running_loop().create_task(demo.run())
+            while not changes.done():
+                live.update(demo.progress())
+                await asyncio.wait([changes], timeout=0.25)
+            changes.result()
+        checks = demo.checks()
+        console.print(demo.service_table())
+        console.print(demo.check_table(checks))
+    finally:
+        await demo.close()
+    return 0 if all(check.kept for check in checks) else EXIT_BROKEN
--- /dev/null
+++ b/src/heatheryoke/standins/fabric.py
@@ -0,0 +1,84 @@
+"""A fabric that hands each caller's datagram to any live balancer."""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+from heatheryoke.core.flows import UDP, FlowTuple
+from heatheryoke.daemons.datagrams import RECEIVE_BUFFER_BYTES, DatagramPort
+from heatheryoke.inventory.document import Address
+from heatheryoke.wire.proxy_header import decode_proxied, encode_proxied
+
+__all__ = ["Fabric", "Faults"]
+
+
+class Faults(NamedTuple):
+    """Chances, from 0 to 1, of what may befall a datagram on its way to a balancer."""
+
+    drop: float = 0.0
+    duplicate: float = 0.0
+    delay: float = 0.0
+    delay_s: float = 0.02
+
+
+class Fabric:
+    """Service addresses on one side, balancers on the other; answers pass back through it."""
+
+    def __init__(self, seed: int, faults: Faults = Faults()):
+        self.random = random.Random(seed)
+        self.faults = faults
+        self.balancers: list[Address] = []
+        self.services: dict[Address, DatagramPort] = {}
+        self.egress: DatagramPort | None = None
+        self.bad_answers = 0
+
+    def start(self, egress: Address, services: list[Address]) -> None:
+        """Open the service addresses and the address that takes answers."""
+        loop = asyncio.get_running_loop()
+        size = RECEIVE_BUFFER_BYTES
+        self.egress = DatagramPort(loop, egress, self.on_answer, buffer_bytes=size)
+        for service in services:
+            port = DatagramPort(loop, service, self.receiver(service), buffer_bytes=size)
+            self.services[service] = port
+
+    def close(self) -> None:
+        """Close every address."""
+        for port in self.services.values():
+            port.close()
+        if self.egress is not None:
+            self.egress.close()
+
+    def receiver(self, service: Address):
+        """Return what takes the callers' datagrams for a service address."""
+
+        def receive(data: bytes, caller: Address) -> None:
+            self.spray(encode_proxied(FlowTuple(UDP, caller, service), data))
+
+        return receive
+
+    def spray(self, data: bytes) -> None:
+        """Hand a datagram to a balancer, with the faults that are set."""
+        chance = self.random.random
+        if chance() < self.faults.drop:
+            return
+        copies = 2 if chance() < self.faults.duplicate else 1
+        for _ in range(copies):
+            if chance() < self.faults.delay:
+                delay = chance() * self.faults.delay_s
+                asyncio.get_running_loop().call_later(delay, self.hand_over, data)
+            else:
+                self.hand_over(data)
+
+    def hand_over(self, data: bytes) -> None:
+        """Send a datagram to any live balancer."""
+        if self.balancers and self.egress.socket.fileno() >= 0:
+            self.egress.send(data, self.random.choice(self.balancers))
+
+    def on_answer(self, data: bytes, sender: Address) -> None:
+        """Send an answer to its caller from the service's address."""
+        proxied = decode_proxied(data)
+        port = self.services.get(proxied.flow.service) if proxied else None
+        if port is None:
+            self.bad_answers += 1
+            return
+        port.send(proxied.payload, proxied.flow.source)
--- /dev/null
+++ b/src/heatheryoke/standins/site.py
@@ -0,0 +1,169 @@
+"""A whole deployment on loopback: the system's processes and everything around them."""
+
+import asyncio
+import random
+import secrets
+import socket
+from datetime import UTC, datetime, timedelta
+
+from heatheryoke.daemons.application import AgentApplication, Application, BalancerApplication
+from heatheryoke.daemons.settings import LogFormat, Settings
+from heatheryoke.inventory.document import Address, Document, Host, HostState, Role
+from heatheryoke.standins.deployments import Deployment, make_document
+from heatheryoke.standins.fabric import Fabric
+from heatheryoke.standins.platform import Platform
+from heatheryoke.standins.upstream import Ledger, Upstream, UpstreamBehaviour
+
+__all__ = ["LOOPBACK", "Site", "free_address"]
+
+LOOPBACK = "127.0.0.1"
+FIRST_START_S = 60
+
+
+def free_address() -> Address:
+    """Return a loopback address whose port no UDP or TCP socket holds now."""
+    while True:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+        ):
+            datagrams.bind((LOOPBACK, 0))
+            port = datagrams.getsockname()[1]
+            try:
+                stream.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return Address(LOOPBACK, port)
+
+
+class Site:
+    """Owns the stand-ins and, unless they run elsewhere, the system's own processes."""
+
+    def __init__(self, deployment: Deployment, seed: int, behaviour: UpstreamBehaviour):
+        self.deployment = deployment
+        self.random = random.Random(seed)
+        self.behaviour = behaviour
+        self.shared_key = secrets.token_bytes(32)
+        self.document = make_document(deployment, free_address)
+        self.platform = Platform()
+        self.platform_address = free_address()
+        self.fabric = Fabric(seed)
+        self.fabric_egress = free_address()
+        self.fabric_listens = {host.name: free_address() for host in self.hosts(Role.BALANCER)}
+        self.status_addresses = {host.name: free_address() for host in self.document.hosts}
+        self.ledger = Ledger()
+        self.upstreams: dict[str, Upstream] = {}
+        self.applications: dict[str, Application] = {}
+        self.first_start_until = datetime.now(UTC) + timedelta(seconds=FIRST_START_S)
+
+    # Life cycle
+
+    async def start_standins(self) -> None:
+        """Start the platform, the fabric and the upstreams."""
+        await self.platform.start(self.platform_address)
+        self.platform.publish(self.document)
+        services = [service.address for service in self.document.services]
+        self.fabric.start(self.fabric_egress, services)
+        for endpoint in self.document.endpoints:
+            upstream = Upstream(endpoint.host, self.ledger, self.behaviour)
+            await upstream.start(endpoint.address)
+            self.upstreams[endpoint.host] = upstream
+
+    async def start_processes(self) -> None:
+        """Start every balancer and agent on this loop."""
+        for host in self.document.hosts:
+            await self.start_process(host)
+
+    async def start_process(self, host: Host) -> None:
+        """Start one host's process; a balancer is shown to the fabric."""
+        kind = BalancerApplication if host.role is Role.BALANCER else AgentApplication
+        application = kind(self.settings(host))
+        self.applications[host.name] = application
+        await application.start()
+        if host.role is Role.BALANCER:
+            self.fabric.balancers.append(self.fabric_listens[host.name])
+
+    async def stop_process(self, name: str, graceful: bool) -> None:
+        """Stop one process; the fabric sends a balancer nothing more."""
+        listen = self.fabric_listens.get(name)
+        if listen in self.fabric.balancers:
+            self.fabric.balancers.remove(listen)
+        application = self.applications.pop(name)
+        if graceful:
+            application.request_stop()
+            await application.stopped.wait()
+        await application.close()
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for application in list(self.applications.values()):
+            await application.close()
+        self.fabric.close()
+        for upstream in self.upstreams.values():
+            await upstream.close()
+        await self.platform.close()
+
+    # Reading
+
+    def hosts(self, role: Role) -> list[Host]:
+        """Return the hosts of one role."""
+        return [host for host in self.document.hosts if host.role is role]
+
+    def host(self, name: str) -> Host:
+        """Return a host by name."""
+        return next(host for host in self.document.hosts if host.name == name)
+
+    def service_address(self, name: str) -> Address:
+        """Return the address that callers of a service use."""
+        return next(row.address for row in self.document.services if row.name == name)
+
+    def settings(self, host: Host) -> Settings:
+        """Return the settings of one host's process."""
+        return Settings(
+            name=host.name,
+            failure_domain=host.failure_domain,
+            address=host.address,
+            shared_key=self.shared_key,
+            peers=tuple(other.address for other in self.document.hosts if other is not host)[:3],
+            platform_url=f"http://{self.platform_address}",
+            fabric_egress=self.fabric_egress,
+            fabric_listen=self.fabric_listens.get(host.name),
+            status_address=self.status_addresses[host.name],
+            log_format=LogFormat.TEXT,
+            log_level="INFO",
+            upstream_bind=LOOPBACK,
+            first_start_until=self.first_start_until,
+        )
+
+    # Changing
+
+    def publish(self, document: Document) -> None:
+        """Publish a change under the next version."""
+        self.document = document._replace(version=self.document.version + 1)
+        self.platform.publish(self.document)
+
+    def set_host_state(self, name: str, state: HostState) -> None:
+        """Publish what operators have decided about a host."""
+        hosts = tuple(
+            host._replace(state=state) if host.name == name else host
+            for host in self.document.hosts
+        )
+        self.publish(self.document._replace(hosts=hosts))
+
+    def set_withdrawn(self, domain: str, withdrawn: bool) -> None:
+        """Publish that a failure domain is withdrawn, or returns."""
+        domains = tuple(
+            row._replace(withdrawn=withdrawn) if row.name == domain else row
+            for row in self.document.failure_domains
+        )
+        self.publish(self.document._replace(failure_domains=domains))
+
+    async def wait_for_epoch(self, timeout_s: float = 10.0) -> float:
+        """Wait until every process on this loop has the current version; return how long."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while any(row.node.epoch < self.document.version for row in self.applications.values()):
+            if loop.time() - began > timeout_s:
+                raise TimeoutError(f"epoch {self.document.version} is not in force everywhere")
+            await asyncio.sleep(0.02)
+        return loop.time() - began
--- /dev/null
+++ b/src/heatheryoke/standins/upstream.py
@@ -0,0 +1,164 @@
+"""An upstream application: standing feeds, writes that must run once, and large sheets."""
+
+import asyncio
+import time
+from collections import Counter
+from typing import NamedTuple
+
+import aiocoap
+from aiocoap import resource
+from aiocoap.numbers import codes
+
+from heatheryoke.inventory.document import Address
+from heatheryoke.wire.coap import DEADLINE_OPTION, read_number
+
+__all__ = ["Ledger", "Upstream", "UpstreamBehaviour"]
+
+SHEET_BYTES = 3_000
+TRANSPORTS = ["simplesocketserver"]
+
+
+class UpstreamBehaviour(NamedTuple):
+    """How an upstream works: `bearable` requests at once while it is cold."""
+
+    slots: int = 4
+    service_s: float = 0.02
+    notify_s: float = 0.5
+    bearable: int = 1
+    warm_requests: int = 20
+    cold_factor: float = 3.0
+
+
+class Ledger:
+    """What all upstreams of a test have run, by request id."""
+
+    def __init__(self):
+        self.runs: Counter[str] = Counter()
+
+    def doubled(self) -> list[str]:
+        """Return the ids that were run more than once."""
+        return sorted(identity for identity, count in self.runs.items() if count > 1)
+
+
+class Upstream:
+    """One upstream process's work; it falls over when a cold start gets too much."""
+
+    def __init__(self, name: str, ledger: Ledger, behaviour: UpstreamBehaviour):
+        self.name = name
+        self.ledger = ledger
+        self.behaviour = behaviour
+        self.running = 0
+        self.served = 0
+        self.busiest = 0
+        self.cold_overloads = 0
+        self.expired = 0
+        self.context: aiocoap.Context | None = None
+        self.feed = Feed(self)
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether it has served too few requests to be warm."""
+        return self.served < self.behaviour.warm_requests
+
+    async def start(self, address: Address) -> None:
+        """Listen."""
+        site = resource.Site()
+        for path in ("feed", "feeds"):
+            site.add_resource([path], self.feed)
+        for path in ("measurements", "holds"):
+            site.add_resource([path], Write(self))
+        for path in ("sheets", "programmes"):
+            site.add_resource([path], Sheet(self))
+        self.context = await aiocoap.Context.create_server_context(
+            site, bind=tuple(address), transports=TRANSPORTS
+        )
+        self.feed.begin()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        self.feed.end()
+        if self.context is not None:
+            await self.context.shutdown()
+
+    async def work(self, request: aiocoap.Message) -> bool:
+        """Take up a slot for one request's time; False if its deadline had passed."""
+        deadline_ms = read_number(request, DEADLINE_OPTION)
+        if deadline_ms is not None and time.time() * 1000 > deadline_ms:
+            self.expired += 1
+            return False
+        behaviour = self.behaviour
+        self.running += 1
+        self.busiest = max(self.busiest, self.running)
+        if self.is_cold and self.running > behaviour.bearable:
+            self.cold_overloads += 1
+        factor = behaviour.cold_factor if self.is_cold else 1.0
+        try:
+            await asyncio.sleep(behaviour.service_s * factor)
+        finally:
+            self.running -= 1
+        self.served += 1
+        return True
+
+
+class Feed(resource.ObservableResource):
+    """A standing feed whose value counts up."""
+
+    def __init__(self, upstream: Upstream):
+        super().__init__()
+        self.upstream = upstream
+        self.value = 0
+        self.timer: asyncio.TimerHandle | None = None
+
+    def begin(self) -> None:
+        """Notify observers now and then."""
+        delay = self.upstream.behaviour.notify_s
+        self.timer = asyncio.get_running_loop().call_later(delay, self.notify)
+
+    def notify(self) -> None:
+        """Publish the next value."""
+        self.value += 1
+        self.updated_state()
+        self.begin()
+
+    def end(self) -> None:
+        """Stop."""
+        if self.timer is not None:
+            self.timer.cancel()
+
+    async def render_get(self, request: aiocoap.Message) -> aiocoap.Message:
+        """Answer with the value."""
+        return aiocoap.Message(payload=f"{self.upstream.name}:{self.value}".encode())
+
+
+class Write(resource.Resource):
+    """A measurement or seat hold; each run of an id is recorded."""
+
+    def __init__(self, upstream: Upstream):
+        super().__init__()
+        self.upstream = upstream
+
+    async def render_post(self, request: aiocoap.Message) -> aiocoap.Message:
+        """Run the request."""
+        if not await self.upstream.work(request):
+            return aiocoap.Message(code=codes.SERVICE_UNAVAILABLE, payload=b"too late; not run")
+        identity = next(
+            (q.removeprefix("id=") for q in request.opt.uri_query if q.startswith("id=")), ""
+        )
+        if identity:
+            self.upstream.ledger.runs[identity] += 1
+        return aiocoap.Message(code=codes.CHANGED, payload=b"ran " + identity.encode())
+
+
+class Sheet(resource.Resource):
+    """A document of several blocks."""
+
+    def __init__(self, upstream: Upstream):
+        super().__init__()
+        self.upstream = upstream
+
+    async def render_get(self, request: aiocoap.Message) -> aiocoap.Message:
+        """Answer with the whole sheet, as the query names it."""
+        if not await self.upstream.work(request):
+            return aiocoap.Message(code=codes.SERVICE_UNAVAILABLE, payload=b"too late; not run")
+        line = ("/".join(request.opt.uri_query) + ";").encode()
+        return aiocoap.Message(payload=(line * SHEET_BYTES)[:SHEET_BYTES])
--- /dev/null
+++ b/src/heatheryoke/wire/__init__.py
@@ -0,0 +1,1 @@
+"""How packets and messages look on the wire."""
--- /dev/null
+++ b/src/heatheryoke/wire/coap.py
@@ -0,0 +1,144 @@
+"""CoAP (RFC 7252, 7641, 7959) as the request logic sees it, by the message codec of aiocoap."""
+
+from math import ceil
+
+from aiocoap import error
+from aiocoap.message import Direction, Message
+from aiocoap.numbers import codes, types
+from aiocoap.numbers.optionnumbers import OptionNumber
+from aiocoap.optiontypes import OpaqueOption
+
+from heatheryoke.core.requests import Answer, RefusalReason, Request, RequestCodec, RequestKind
+from heatheryoke.inventory.document import Service
+
+__all__ = ["DEADLINE_OPTION", "TIMEOUT_OPTION", "CoapCodec", "read_number"]
+
+# Elective, safe to forward and no part of the cache key (RFC 7252, section 5.4.6), so that the
+# blocks of one transfer still match; from the range for experiments (section 12.2).
+TIMEOUT_OPTION = OptionNumber(65_052)
+DEADLINE_OPTION = OptionNumber(65_020)
+
+DEFAULT_REQUEST_ID = "id"
+OBSERVE_REGISTER = 0
+OBSERVE_CANCEL = 1
+SAFE_METHODS = (codes.GET, codes.FETCH)
+IDEMPOTENT_METHODS = (codes.GET, codes.FETCH, codes.PUT, codes.DELETE, codes.iPATCH)
+REFUSAL_CODES = {
+    RefusalReason.OUTCOME_UNKNOWN: codes.GATEWAY_TIMEOUT,
+}
+
+
+def read_number(message: Message, number: OptionNumber) -> int | None:
+    """Return an option's value as an unsigned number, None if it is absent."""
+    for option in message.opt.get_option(number) or ():
+        return int.from_bytes(option.encode(), "big")
+    return None
+
+
+class CoapCodec(RequestCodec):
+    """Reads the request id from a query key, the class from the first path segment."""
+
+    def __init__(self, service: Service):
+        self.request_id_prefix = f"{service.request_id or DEFAULT_REQUEST_ID}="
+
+    def read_request(self, payload: bytes) -> Request | None:
+        """Return the request in a caller's datagram, None if it is malformed."""
+        message = _decode(payload)
+        if message is None:
+            return None
+        if not message.code.is_request():
+            return Request(RequestKind.CONTROL, message.token, message.mid)
+        timeout_ms = read_number(message, TIMEOUT_OPTION)
+        path = message.opt.uri_path
+        return Request(
+            self.kind_of(message),
+            message.token,
+            message.mid,
+            self.request_id_of(message),
+            path[0] if path else "",
+            None if timeout_ms is None else timeout_ms / 1000,
+        )
+
+    def kind_of(self, message: Message) -> RequestKind:
+        """Return what a request asks for."""
+        if message.code in SAFE_METHODS and message.opt.observe == OBSERVE_REGISTER:
+            return RequestKind.FEED
+        if message.code in SAFE_METHODS and message.opt.observe == OBSERVE_CANCEL:
+            return RequestKind.CANCEL
+        return RequestKind.READ if message.code in IDEMPOTENT_METHODS else RequestKind.WRITE
+
+    def request_id_of(self, message: Message) -> bytes:
+        """Return the id of a non-idempotent request, empty if it has none.
+
+        The blocks of one request (RFC 7959) are requests of their own.
+        """
+        if message.code in IDEMPOTENT_METHODS:
+            return b""
+        block = message.opt.block1.block_number if message.opt.block1 else 0
+        for query in message.opt.uri_query:
+            if query.startswith(self.request_id_prefix):
+                identity = query.removeprefix(self.request_id_prefix)
+                return f"{identity}#{block}".encode() if identity else b""
+        return b""
+
+    def read_answer(self, payload: bytes) -> Answer | None:
+        """Return the answer in an upstream's datagram, None if it is malformed."""
+        message = _decode(payload)
+        if message is None:
+            return None
+        return Answer(
+            message.token,
+            message.mid,
+            final=message.code.is_response(),
+            refused=message.code == codes.SERVICE_UNAVAILABLE,
+            feed=message.opt.observe is not None,
+        )
+
+    def refusal(self, payload: bytes, reason: RefusalReason, retry_s: float) -> bytes:
+        """Return 5.03 where the request was not run, 5.04 where that is unknown."""
+        request = Message.decode(payload)
+        code = REFUSAL_CODES.get(reason, codes.SERVICE_UNAVAILABLE)
+        text = f"{reason.text}; {'not run' if reason.not_run else 'ask again'}"
+        answer = Message(code=code, payload=text.encode())
+        answer.opt.max_age = max(1, ceil(retry_s))
+        return _address(answer, request)
+
+    def readdress(self, answer: bytes, payload: bytes) -> bytes:
+        """Return another request's answer under this one's token and message id."""
+        return _address(Message.decode(answer), Message.decode(payload))
+
+    def stamp(self, payload: bytes, deadline_unix_s: float) -> bytes:
+        """Add the deadline in milliseconds of Unix time as an elective option."""
+        message = Message.decode(payload)
+        milliseconds = int(deadline_unix_s * 1000)
+        message.opt.delete_option(TIMEOUT_OPTION)
+        message.opt.add_option(OpaqueOption(DEADLINE_OPTION, milliseconds.to_bytes(8, "big")))
+        return _encode(message)
+
+    def renewal(self, payload: bytes, message_id: int) -> bytes:
+        """Return a feed's request as a non-confirmable one, so that no caller misses its ACK."""
+        message = Message.decode(payload)
+        message.mid = message_id
+        message.mtype = types.NON
+        return _encode(message)
+
+
+def _decode(payload: bytes) -> Message | None:
+    try:
+        return Message.decode(payload)
+    except (error.UnparsableMessage, ValueError, IndexError, KeyError, TypeError):
+        return None
+
+
+def _address(answer: Message, request: Message) -> bytes:
+    """Encode an answer as the reply to a request's datagram."""
+    answer.token = request.token
+    answer.mid = request.mid
+    answer.mtype = types.ACK if request.mtype is types.CON else types.NON
+    return _encode(answer)
+
+
+def _encode(message: Message) -> bytes:
+    """Encode a message that may have been decoded before."""
+    message.direction = Direction.OUTGOING
+    return message.encode()
--- /dev/null
+++ b/src/heatheryoke/wire/control.py
@@ -0,0 +1,107 @@
+"""Control messages in Cap'n Proto, by the schema in `messages.capnp`.
+
+Each message type has a struct of the same name, and each field one of the same name in camel case.
+"""
+
+import types
+from enum import IntEnum
+from pathlib import Path
+from typing import Any, NamedTuple, get_args, get_origin, get_type_hints
+
+import capnp
+
+from heatheryoke.core.messages import PeerMessage
+
+__all__ = ["decode_control", "encode_control"]
+
+SCHEMA_PATH = Path(__file__).with_name("messages.capnp")
+TRAVERSAL_WORDS = 8 * 1024
+
+capnp.remove_import_hook()
+schema = capnp.load(str(SCHEMA_PATH))
+
+
+class Field(NamedTuple):
+    """One field of a message: its names here and in the schema, and how to convert it."""
+
+    name: str
+    wire_name: str
+    row_type: type | None
+    is_list: bool
+    enum_type: type[IntEnum] | None
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(word.capitalize() for word in rest)
+
+
+def _field(name: str, hint: Any) -> Field:
+    if get_origin(hint) is tuple:
+        item = get_args(hint)[0]
+        return Field(name, _camel(name), item if hasattr(item, "_fields") else None, True, None)
+    enum_type = hint if isinstance(hint, type) and issubclass(hint, IntEnum) else None
+    return Field(name, _camel(name), None, False, enum_type)
+
+
+def _fields(message_type: type) -> tuple[Field, ...]:
+    hints = get_type_hints(message_type)
+    return tuple(_field(name, hints[name]) for name in message_type._fields)
+
+
+def _all_types() -> tuple[type, ...]:
+    return get_args(PeerMessage)
+
+
+MEMBERS = {each: each.__name__[0].lower() + each.__name__[1:] for each in _all_types()}
+TYPES = {member: each for each, member in MEMBERS.items()}
+FIELDS: dict[type, tuple[Field, ...]] = types.MappingProxyType(
+    {
+        each: _fields(each)
+        for top in _all_types()
+        for each in (top, *(f.row_type for f in _fields(top) if f.row_type))
+    }
+)
+
+
+def _as_dict(message: Any) -> dict[str, Any]:
+    return {
+        field.wire_name: (
+            [_as_dict(row) for row in value]
+            if field.row_type
+            else list(value) if field.is_list else int(value) if field.enum_type else value
+        )
+        for field, value in zip(FIELDS[type(message)], message, strict=True)
+    }
+
+
+def _from_reader(message_type: type, reader: Any) -> Any:
+    return message_type(
+        *(_value(field, getattr(reader, field.wire_name)) for field in FIELDS[message_type])
+    )
+
+
+def _value(field: Field, value: Any) -> Any:
+    if field.row_type:
+        return tuple(_from_reader(field.row_type, row) for row in value)
+    if field.is_list:
+        return tuple(bytes(item) for item in value)
+    if field.enum_type:
+        return field.enum_type(value)
+    return value
+
+
+def encode_control(message: PeerMessage) -> bytes:
+    """Return a message's packed encoding."""
+    control = schema.Control.new_message(**{MEMBERS[type(message)]: _as_dict(message)})
+    return control.to_bytes_packed()
+
+
+def decode_control(data: bytes) -> PeerMessage | None:
+    """Read a message; None if it does not follow the schema."""
+    try:
+        control = schema.Control.from_bytes_packed(data, traversal_limit_in_words=TRAVERSAL_WORDS)
+        member = str(control.which())
+        return _from_reader(TYPES[member], getattr(control, member))
+    except (capnp.KjException, ValueError, KeyError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/src/heatheryoke/wire/envelope.py
@@ -0,0 +1,135 @@
+"""The envelope of every datagram between processes: version, sender, epoch, sequence, MAC.
+
+offset  bytes  field
+0       2      magic
+2       1      version
+3       1      kind
+4       8      sender: the random number of the sending process
+12      8      sequence of the sender
+20      8      epoch of the sender
+28      16     BLAKE2b MAC of everything else, keyed by the shared key
+44             body
+"""
+
+import hmac
+import struct
+from enum import Enum, IntEnum
+from hashlib import blake2b
+from typing import NamedTuple
+
+__all__ = [
+    "BadEnvelope",
+    "Envelope",
+    "EnvelopeCodec",
+    "EnvelopeKind",
+    "ReplayWindow",
+]
+
+MAGIC = b"HY"
+VERSION = 1
+HEAD = struct.Struct("!2sBBQQQ")
+MAC_BYTES = 16
+BODY_OFFSET = HEAD.size + MAC_BYTES
+WINDOW_BITS = 1_024
+MAXIMUM_SENDERS = 50_000
+
+
+class EnvelopeKind(IntEnum):
+    """What the body holds."""
+
+    FORWARD = 1
+    CONTROL = 2
+
+
+class BadEnvelope(Enum):
+    """Why a datagram was dropped."""
+
+    TRUNCATED = "truncated"
+    FOREIGN = "foreign"
+    WRONG_VERSION = "wrong_version"
+    FORGED = "forged"
+    REPLAYED = "replayed"
+
+
+class Envelope(NamedTuple):
+    """An authenticated datagram."""
+
+    kind: EnvelopeKind
+    sender: int
+    epoch: int
+    body: bytes
+
+
+class ReplayWindow:
+    """Accepts each sequence number of one sender once, within `WINDOW_BITS` of the highest."""
+
+    __slots__ = ("highest", "seen")
+
+    def __init__(self):
+        self.highest = -1
+        self.seen = 0
+
+    def accept(self, sequence: int) -> bool:
+        """Tell whether a sequence number is new."""
+        if sequence > self.highest:
+            shift = sequence - self.highest
+            self.seen = (self.seen << shift | 1) & WINDOW_MASK if shift < WINDOW_BITS else 1
+            self.highest = sequence
+            return True
+        bit = 1 << (self.highest - sequence)
+        if self.highest - sequence >= WINDOW_BITS or self.seen & bit:
+            return False
+        self.seen |= bit
+        return True
+
+
+WINDOW_MASK = (1 << WINDOW_BITS) - 1
+
+
+class EnvelopeCodec:
+    """Seals and opens datagrams for one process."""
+
+    def __init__(self, key: bytes, sender: int):
+        self.base = blake2b(key=key, digest_size=MAC_BYTES)
+        self.sender = sender
+        self.sequence = 0
+        self.windows: dict[int, ReplayWindow] = {}
+
+    def seal(self, kind: EnvelopeKind, epoch: int, body: bytes) -> bytes:
+        """Return a datagram under the next sequence number."""
+        self.sequence += 1
+        head = HEAD.pack(MAGIC, VERSION, kind, self.sender, self.sequence, epoch)
+        return head + self.mac(head, body) + body
+
+    def mac(self, head: bytes, body: bytes) -> bytes:
+        """Return the MAC of a datagram's head and body."""
+        digest = self.base.copy()
+        digest.update(head)
+        digest.update(body)
+        return digest.digest()
+
+    def open(self, data: bytes) -> Envelope | BadEnvelope:
+        """Check a datagram, cheapest test first."""
+        if len(data) < BODY_OFFSET:
+            return BadEnvelope.TRUNCATED
+        magic, version, kind, sender, sequence, epoch = HEAD.unpack_from(data)
+        if magic != MAGIC:
+            return BadEnvelope.FOREIGN
+        if version != VERSION:
+            return BadEnvelope.WRONG_VERSION
+        body = data[BODY_OFFSET:]
+        mac = self.mac(data[: HEAD.size], body)
+        if not hmac.compare_digest(mac, data[HEAD.size : BODY_OFFSET]):
+            return BadEnvelope.FORGED
+        if not self.window(sender).accept(sequence):
+            return BadEnvelope.REPLAYED
+        return Envelope(EnvelopeKind(kind), sender, epoch, body)
+
+    def window(self, sender: int) -> ReplayWindow:
+        """Return a sender's window; beyond the bound the oldest sender's is dropped."""
+        window = self.windows.get(sender)
+        if window is None:
+            window = self.windows[sender] = ReplayWindow()
+            if len(self.windows) > MAXIMUM_SENDERS:
+                del self.windows[next(iter(self.windows))]
+        return window
--- /dev/null
+++ b/src/heatheryoke/wire/forward.py
@@ -0,0 +1,64 @@
+"""A forwarded packet: a fixed header, the hosts visited, and the payload as it came.
+
+The payload rides behind the header, so that passing a packet on copies it without parsing.
+"""
+
+import socket
+import struct
+
+from heatheryoke.core.flows import PacketKind
+from heatheryoke.core.messages import Forward, Visit
+from heatheryoke.inventory.document import Address
+
+__all__ = ["decode_forward", "encode_forward"]
+
+HEAD = struct.Struct("!13sQBBBB4sHHI")
+VISIT = struct.Struct("!Qf")
+ASSIGNED = 1
+DEPUTED = 2
+MAXIMUM_VISITS = 32
+
+
+def encode_forward(message: Forward) -> bytes:
+    """Return the body of a forwarded packet."""
+    flags = (ASSIGNED if message.assigned else 0) | (DEPUTED if message.deputed else 0)
+    head = HEAD.pack(
+        message.flow,
+        message.service_id,
+        message.kind,
+        message.hops,
+        flags,
+        len(message.visited),
+        socket.inet_aton(message.via.ip),
+        message.via.port,
+        message.local_port,
+        message.generation,
+    )
+    visits = b"".join(VISIT.pack(*visit) for visit in message.visited)
+    return head + visits + message.payload
+
+
+def decode_forward(data: bytes) -> Forward | None:
+    """Read the body of a forwarded packet; None if it is malformed."""
+    if len(data) < HEAD.size:
+        return None
+    flow, service_id, kind, hops, flags, visits, ip, port, local_port, generation = (
+        HEAD.unpack_from(data)
+    )
+    offset = HEAD.size + visits * VISIT.size
+    if visits > MAXIMUM_VISITS or len(data) < offset or kind > PacketKind.EITHER:
+        return None
+    visited = tuple(Visit(*row) for row in VISIT.iter_unpack(data[HEAD.size : offset]))
+    return Forward(
+        flow,
+        service_id,
+        PacketKind(kind),
+        hops,
+        Address(socket.inet_ntoa(ip), port),
+        data[offset:],
+        visited,
+        bool(flags & ASSIGNED),
+        bool(flags & DEPUTED),
+        local_port,
+        generation,
+    )
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,204 @@
+"""What arrives on a socket: round trips, and bad input that is dropped."""
+
+import pytest
+from aiocoap.message import Message
+from aiocoap.numbers import codes, types
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key, flow_tuple
+from heatheryoke.core.messages import (
+    Accusation,
+    Accusations,
+    ClaimRecord,
+    ClaimReply,
+    ClaimVerdict,
+    Forward,
+    Heartbeat,
+    RecoveryReply,
+    Registration,
+    Registrations,
+    Visit,
+)
+from heatheryoke.core.requests import RefusalReason, RequestKind
+from heatheryoke.inventory.document import Address, Service
+from heatheryoke.wire.coap import DEADLINE_OPTION, TIMEOUT_OPTION, CoapCodec, read_number
+from heatheryoke.wire.control import decode_control, encode_control
+from heatheryoke.wire.envelope import (
+    BODY_OFFSET,
+    BadEnvelope,
+    Envelope,
+    EnvelopeCodec,
+    EnvelopeKind,
+    ReplayWindow,
+)
+from heatheryoke.wire.forward import decode_forward, encode_forward
+from heatheryoke.wire.proxy_header import Proxied, decode_proxied, encode_proxied
+
+KEY = b"k" * 32
+FLOW = FlowTuple(UDP, Address("192.0.2.1", 4001), Address("198.51.100.1", 5683))
+addresses = st.builds(
+    Address,
+    st.ip_addresses(v=4).map(str),
+    st.integers(1, 65_535),
+)
+
+
+class TestEnvelope:
+    def test_opens_what_a_peer_sealed(self):
+        sealed = EnvelopeCodec(KEY, 1).seal(EnvelopeKind.CONTROL, 9, b"body")
+        assert EnvelopeCodec(KEY, 2).open(sealed) == Envelope(EnvelopeKind.CONTROL, 1, 9, b"body")
+
+    def test_drops_what_was_opened_before(self):
+        sealed = EnvelopeCodec(KEY, 1).seal(EnvelopeKind.CONTROL, 9, b"body")
+        receiver = EnvelopeCodec(KEY, 2)
+        receiver.open(sealed)
+        assert receiver.open(sealed) is BadEnvelope.REPLAYED
+
+    def test_drops_another_key(self):
+        sealed = EnvelopeCodec(b"x" * 32, 1).seal(EnvelopeKind.CONTROL, 9, b"body")
+        assert EnvelopeCodec(KEY, 2).open(sealed) is BadEnvelope.FORGED
+
+    @given(st.integers(0, BODY_OFFSET + 3), st.integers(1, 255))
+    def test_drops_any_changed_byte(self, position, change):
+        sealed = bytearray(EnvelopeCodec(KEY, 1).seal(EnvelopeKind.CONTROL, 9, b"body"))
+        sealed[position] ^= change
+        assert isinstance(EnvelopeCodec(KEY, 2).open(bytes(sealed)), BadEnvelope)
+
+    @given(st.binary(max_size=200))
+    def test_drops_random_bytes(self, data):
+        assert isinstance(EnvelopeCodec(KEY, 2).open(data), BadEnvelope)
+
+
+class TestReplayWindow:
+    @given(st.lists(st.integers(0, 3_000), max_size=200))
+    def test_accepts_no_number_twice(self, numbers):
+        window = ReplayWindow()
+        accepted = [number for number in numbers if window.accept(number)]
+        assert len(accepted) == len(set(accepted))
+
+    def test_accepts_numbers_out_of_order(self):
+        window = ReplayWindow()
+        assert [window.accept(number) for number in (5, 3, 4, 3)] == [True, True, True, False]
+
+
+class TestForward:
+    @given(
+        st.sampled_from(PacketKind),
+        st.integers(0, 255),
+        addresses,
+        st.binary(max_size=300),
+        st.lists(st.integers(0, 2**64 - 1), max_size=3),
+        st.booleans(),
+        st.booleans(),
+        st.integers(0, 65_535),
+    )
+    def test_round_trip(self, kind, hops, via, payload, hosts, assigned, deputed, port):
+        visited = tuple(Visit(host, 1.5) for host in hosts)
+        message = Forward(
+            flow_key(FLOW), 77, kind, hops, via, payload, visited, assigned, deputed, port, 3
+        )
+        assert decode_forward(encode_forward(message)) == message
+
+    @given(st.binary(max_size=120))
+    def test_random_bytes_raise_nothing(self, data):
+        decode_forward(data)
+
+
+class TestControl:
+    ROW = Registration(flow_key(FLOW), "upstream-1", 3, 5555, True, False, (b"feed",))
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            Registrations(1, (ROW, ROW)),
+            Heartbeat("upstream-1", 2**63, 5),
+            ClaimReply(b"id", "upstream-2", 7, ClaimVerdict.HELD, "upstream-3", 9),
+            Accusations(3, (Accusation("a", "b", 4, True),)),
+            RecoveryReply(1, 0, 1, True, (ROW,), (ClaimRecord(b"x", "y", 3, 2.5),)),
+        ],
+    )
+    def test_round_trip(self, message):
+        assert decode_control(encode_control(message)) == message
+
+    @given(st.binary(max_size=200))
+    def test_random_bytes_raise_nothing(self, data):
+        decode_control(data)
+
+    @given(st.integers(0, 60), st.integers(1, 255))
+    def test_changed_bytes_raise_nothing(self, position, change):
+        data = bytearray(encode_control(Registrations(1, (self.ROW,))))
+        data[position % len(data)] ^= change
+        decode_control(bytes(data))
+
+
+class TestProxyHeader:
+    @given(addresses, addresses, st.binary(max_size=100))
+    def test_round_trip(self, source, service, payload):
+        flow = FlowTuple(UDP, source, service)
+        assert decode_proxied(encode_proxied(flow, payload)) == Proxied(flow, payload)
+
+    @given(st.binary(max_size=60))
+    def test_random_bytes_are_refused(self, data):
+        assert decode_proxied(data) is None
+
+    @given(addresses, addresses)
+    def test_flow_key_round_trip(self, source, service):
+        flow = FlowTuple(UDP, source, service)
+        assert flow_tuple(flow_key(flow)) == flow
+
+
+class TestCoapCodec:
+    codec = CoapCodec(Service("holds", Address("198.51.100.1", 5683), "sangam"))
+
+    def message(self, code=codes.POST, mtype=types.CON, **options):
+        message = Message(code=code, uri="coap://h/holds?id=abc", payload=b"x", **options)
+        message.mid, message.token, message.mtype = 77, b"tok", mtype
+        return message.encode()
+
+    def test_reads_a_write_with_its_id(self):
+        request = self.codec.read_request(self.message())
+        assert request[:5] == (RequestKind.WRITE, b"tok", 77, b"abc#0", "holds")
+
+    def test_reads_a_feed(self):
+        request = self.codec.read_request(self.message(codes.GET, observe=0))
+        assert request.kind is RequestKind.FEED
+        assert request.request_id == b""
+
+    def test_reads_the_end_of_a_feed(self):
+        request = self.codec.read_request(self.message(codes.GET, observe=1))
+        assert request.kind is RequestKind.CANCEL
+
+    def test_refusal_says_not_run_and_when_to_come_back(self):
+        payload = self.codec.refusal(self.message(), RefusalReason.OVERLOADED, 2.2)
+        answer = Message.decode(payload)
+        assert answer.code == codes.SERVICE_UNAVAILABLE
+        assert answer.opt.max_age == 3
+        assert answer.token == b"tok"
+        assert b"not run" in answer.payload
+
+    def test_unknown_outcome_is_no_refusal(self):
+        payload = self.codec.refusal(self.message(), RefusalReason.OUTCOME_UNKNOWN, 1.0)
+        answer = Message.decode(payload)
+        assert answer.code == codes.GATEWAY_TIMEOUT
+        assert b"not run" not in answer.payload
+
+    def test_stamp_adds_a_deadline_outside_the_cache_key(self):
+        stamped = Message.decode(self.codec.stamp(self.message(), 1_000.5))
+        assert read_number(stamped, DEADLINE_OPTION) == 1_000_500
+        for option in (DEADLINE_OPTION, TIMEOUT_OPTION):
+            assert option & 0x1E == 0x1C
+            assert not option.is_critical()
+
+    def test_readdressed_answer_keeps_its_content(self):
+        answer = self.codec.refusal(self.message(), RefusalReason.OVERLOADED, 2.2)
+        other = Message(code=codes.POST, uri="coap://h/holds?id=abc")
+        other.mid, other.token, other.mtype = 99, b"other", types.NON
+        moved = Message.decode(self.codec.readdress(answer, other.encode()))
+        assert (moved.mid, moved.token, moved.mtype) == (99, b"other", types.NON)
+        assert moved.payload == Message.decode(answer).payload
+
+    @given(st.binary(max_size=80))
+    def test_random_bytes_raise_nothing(self, data):
+        self.codec.read_request(data)
+        self.codec.read_answer(data)
