Know a request in progress however many came after it; drive the reducers in virtual time

Cause: with the request table driven in virtual time, 3 of 7 upstreams stood still for good after 12 s. A trace showed one slot taken and never freed: a caller sent its request again, the agent had forgotten the message id (8 remembered, placeholders counted among them), took it for new and replaced the record of the request in progress, whose answer then matched none. Ruled out: lost answers (the upstream's answer had arrived), the cold-start alarm (its count did not move). Change: a pending request is known by flow and token; only final answers take up the memory. Conclusion: mended; the test fails on the code before.

--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -65,6 +65,8 @@
 class Agent(Node):
     """Owner, home and witness, beside one upstream host."""
 
+    engine_type: type[RequestEngine] = RequestEngine
+
     def __init__(
         self,
         host_name: str,
@@ -84,7 +86,7 @@
         self.registrar = Registrar(host_name, incarnation & 0xFFFFFFFF)
         self.recovery = Recovery(host_name, incarnation)
         self.placement = placement or LeastOfVisited()
-        self.engine = RequestEngine(
+        self.engine = self.engine_type(
             host_name,
             incarnation,
             self.history,
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -11,7 +11,7 @@
 
 __all__ = ["OwnedFlow", "OwnedFlows", "Registrar"]
 
-REMEMBERED_ANSWERS = 8
+REMEMBERED_ANSWERS = 32
 BATCH_ENTRIES = 12
 RESEND_S = 0.3
 MAXIMUM_RESENDS = 20
@@ -20,8 +20,7 @@
 class OwnedFlow:
     """One flow that this host's upstream serves.
 
-    `answers` holds the latest answers by message id, for requests that arrive twice; an empty
-    one stands for a request that is still in progress. `feeds` holds the request that opened each
+    `answers` holds the latest answers by message id, for requests that arrive twice; `feeds` holds the request that opened each
     standing feed, by token.
     """
 
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -163,6 +163,10 @@
         if repeated is not None:
             return repeated
         active = self.activate(owned, request, payload, now)
+        if request.continues:
+            active.phase = RequestPhase.RUNNING
+            active.started = now
+            return self.start(active, now)
         return self.admit(active, now)
 
     def on_write(
@@ -184,17 +188,17 @@
 
     def repeated(self, owned: OwnedFlow, request: Request) -> list[Effect] | None:
         """Answer a datagram that arrived before; None if it is new."""
+        if (owned.flow, request.token) in self.pending:
+            return [Count("duplicates")]
         answer = owned.remembered(request.message_id)
         if answer is None:
             return None
-        counted: list[Effect] = [Count("duplicates")]
-        return [*counted, AnswerCaller(owned.flow, answer)] if answer else counted
+        return [Count("duplicates"), AnswerCaller(owned.flow, answer)]
 
     def activate(
         self, owned: OwnedFlow, request: Request, payload: bytes, now: float
     ) -> ActiveRequest:
         """Open the record of a new request."""
-        owned.remember(request.message_id, b"")
         timeout = DEFAULT_TIMEOUT_S if request.timeout_s is None else request.timeout_s
         weights = self.service_of(owned.service).class_weights
         active = ActiveRequest(
--- a/src/heatheryoke/core/requests.py
+++ b/src/heatheryoke/core/requests.py
@@ -51,7 +51,10 @@
 
 
 class Request(NamedTuple):
-    """A caller's request; `timeout_s` is None if the caller gave none."""
+    """A caller's request; `timeout_s` is None if the caller gave none.
+
+    One that `continues` asks for a further part of an answer that has begun: it is no new work.
+    """
 
     kind: RequestKind
     token: bytes
@@ -59,6 +62,7 @@
     request_id: bytes = b""
     request_class: str = ""
     timeout_s: float | None = None
+    continues: bool = False
 
 
 class Answer(NamedTuple):
--- /dev/null
+++ b/src/heatheryoke/measure/caller_model.py
@@ -0,0 +1,264 @@
+"""Models of callers: standing feeds with writes, and short flows that fetch one sheet."""
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from heatheryoke.core.flows import UDP, FlowKey, FlowTuple, flow_key
+from heatheryoke.core.requests import RequestKind
+from heatheryoke.inventory.document import Address, Service
+from heatheryoke.measure.plain_codec import ANSWER, REFUSAL, REQUEST, PlainMessage
+from heatheryoke.measure.scheduler import Scheduler
+
+__all__ = ["CallerModel", "CallerTraits", "Outcome", "Tally"]
+
+FIRST_TIMEOUT_S = 2.0
+RETRANSMISSIONS = 4
+MAXIMUM_ATTEMPTS = 4
+
+
+class Outcome(Enum):
+    """How a request ended for its caller."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    SILENT = "silent"
+
+
+class Tally:
+    """What all callers have seen, by request class."""
+
+    def __init__(self):
+        self.asked: Counter[str] = Counter()
+        self.outcomes: Counter[tuple[str, Outcome]] = Counter()
+        self.served_at: list[tuple[float, str]] = []
+        self.asked_at: list[tuple[float, str]] = []
+        self.mixed = 0
+        self.refused_ids: list[bytes] = []
+
+    def served(self) -> int:
+        """Return how many requests were served."""
+        return sum(n for (_, outcome), n in self.outcomes.items() if outcome is Outcome.SERVED)
+
+
+class CallerTraits(NamedTuple):
+    """What one caller does: `write_s` and `sheet_s` are mean times between requests."""
+
+    service: Service
+    feed_path: str = ""
+    write_path: str = ""
+    sheet_path: str = ""
+    interval_s: float = 1.0
+
+
+class Open:
+    """One request in progress at its caller."""
+
+    __slots__ = ("attempts", "message", "sent", "timeout_s")
+
+    def __init__(self, message: PlainMessage):
+        self.message = message
+        self.sent = 0
+        self.timeout_s = FIRST_TIMEOUT_S
+        self.attempts = 1
+
+
+class CallerModel:
+    """One caller; it sends again what gets no answer, and comes back when it is told to."""
+
+    def __init__(
+        self,
+        number: int,
+        traits: CallerTraits,
+        scheduler: Scheduler,
+        tally: Tally,
+        send: Callable[[FlowKey, Address, bytes], None],
+        random,
+    ):
+        self.number = number
+        self.traits = traits
+        self.scheduler = scheduler
+        self.tally = tally
+        self.transmit = send
+        self.random = random
+        self.port = 1_024
+        self.next_number = 0
+        self.open: dict[bytes, Open] = {}
+        self.feed_token = b""
+        self.feed_upstream = ""
+        self.last_news = 0.0
+        self.feed_breaks = 0
+        self.feed_resets = 0
+        self.rate = 1.0
+        self.is_active = True
+
+    @property
+    def flow(self) -> FlowKey:
+        """The flow of the caller's present socket."""
+        ip = f"10.{self.number >> 16 & 255}.{self.number >> 8 & 255}.{self.number & 255}"
+        return flow_key(FlowTuple(UDP, Address(ip, self.port), self.traits.service.address))
+
+    # What the caller does
+
+    def start(self) -> None:
+        """Open the feed, and begin to send requests."""
+        if self.traits.feed_path:
+            self.open_feed()
+        self.plan()
+
+    def plan(self) -> None:
+        """Plan the next request."""
+        delay = self.random.expovariate(self.rate / self.traits.interval_s)
+        self.scheduler.after(delay, self.ask)
+
+    def ask(self) -> None:
+        """Send the next write or sheet request."""
+        self.plan()
+        if not self.is_active:
+            return
+        if self.traits.write_path:
+            self.request(RequestKind.WRITE, self.traits.write_path)
+        else:
+            self.port = self.port + 1 if self.port < 60_000 else 1_024
+            self.request(RequestKind.READ, self.traits.sheet_path)
+
+    def open_feed(self) -> None:
+        """Ask for the standing feed."""
+        self.feed_token = self.request(RequestKind.FEED, self.traits.feed_path)
+        self.feed_upstream = ""
+        self.last_news = self.scheduler.now
+
+    def request(self, kind: RequestKind, path: str) -> bytes:
+        """Send a new request; return its token."""
+        self.next_number += 1
+        token = self.next_number.to_bytes(4, "big")
+        identity = f"{self.number}-{self.next_number}".encode()
+        message = PlainMessage(
+            REQUEST,
+            kind,
+            self.next_number & 0xFFFF,
+            path,
+            token,
+            identity if kind is RequestKind.WRITE else b"",
+            f"{self.traits.service.name}|{identity.decode()}".encode(),
+        )
+        if kind is not RequestKind.FEED:
+            self.tally.asked[path] += 1
+            self.tally.asked_at.append((self.scheduler.now, path))
+        self.open[token] = Open(message)
+        self.send(token)
+        return token
+
+    def send(self, token: bytes) -> None:
+        """Send a request, the first time or again; give up after the last time."""
+        current = self.open.get(token)
+        if current is None:
+            return
+        if current.sent > RETRANSMISSIONS:
+            self.give_up(token, current)
+            return
+        message_id = current.message.message_id
+        self.transmit(self.flow, self.traits.service.address, current.message.encode())
+        current.sent += 1
+        timeout = current.timeout_s * (1 + self.random.random() / 2)
+        current.timeout_s *= 2
+        self.scheduler.after(timeout, lambda: self.send_again(token, message_id))
+
+    def send_again(self, token: bytes, message_id: int) -> None:
+        """Send a request again unless it has been answered or renewed meanwhile."""
+        current = self.open.get(token)
+        if current is not None and current.message.message_id == message_id:
+            self.send(token)
+
+    def give_up(self, token: bytes, current: Open) -> None:
+        """Try once more from a new socket, then count the request as silent."""
+        if current.message.kind is RequestKind.FEED:
+            del self.open[token]
+            self.break_feed()
+            return
+        if current.attempts < MAXIMUM_ATTEMPTS and current.message.request_id:
+            self.retry(token, current)
+            return
+        self.end(token, current, Outcome.SILENT)
+
+    def retry(self, token: bytes, current: Open) -> None:
+        """Send the same request id as a new request."""
+        self.next_number += 1
+        current.attempts += 1
+        current.sent = 0
+        current.timeout_s = FIRST_TIMEOUT_S
+        current.message = current.message._replace(message_id=self.next_number & 0xFFFF)
+        self.send(token)
+
+    def end(self, token: bytes, current: Open, outcome: Outcome) -> None:
+        """Count how a request ended."""
+        self.open.pop(token, None)
+        path = current.message.request_class
+        self.tally.outcomes[path, outcome] += 1
+        if outcome is Outcome.SERVED:
+            self.tally.served_at.append((self.scheduler.now, path))
+
+    # What the caller hears
+
+    def hear(self, flow: FlowKey, data: bytes) -> None:
+        """Take a datagram that reached this caller's socket."""
+        if flow != self.flow:
+            return
+        message = PlainMessage.decode(data)
+        if message.token == self.feed_token and message.kind is RequestKind.FEED:
+            self.hear_feed(message)
+            return
+        current = self.open.get(message.token)
+        if current is None:
+            return
+        if message.phase == ANSWER:
+            if not message.text.startswith(current.message.text + b"|"):
+                self.tally.mixed += 1
+            self.end(message.token, current, Outcome.SERVED)
+        else:
+            self.hear_refusal(message, current)
+
+    def hear_refusal(self, message: PlainMessage, current: Open) -> None:
+        """Come back when told to, for as long as it is worth it."""
+        refused = message.phase == REFUSAL
+        if refused and current.message.request_id:
+            self.tally.refused_ids.append(current.message.request_id)
+        if refused or current.attempts >= MAXIMUM_ATTEMPTS:
+            self.end(message.token, current, Outcome.REFUSED if refused else Outcome.UNKNOWN)
+            return
+        current.message = current.message._replace(message_id=0)
+        self.scheduler.after(message.number, lambda: self.come_back(message.token, current))
+
+    def come_back(self, token: bytes, current: Open) -> None:
+        """Ask again after the time that a refusal gave."""
+        if self.open.get(token) is current:
+            self.retry(token, current)
+
+    def hear_feed(self, message: PlainMessage) -> None:
+        """Take news, or the end of the feed."""
+        self.open.pop(message.token, None)
+        if message.phase != ANSWER:
+            ended = self.feed_upstream != ""
+            self.feed_resets += ended
+            self.feed_token = b""
+            self.scheduler.after(message.number * self.random.random(), self.open_feed)
+            return
+        upstream = message.text.rpartition(b"|")[2].decode()
+        if self.feed_upstream and upstream != self.feed_upstream:
+            self.feed_breaks += 1
+        self.feed_upstream = upstream
+        self.last_news = self.scheduler.now
+
+    def break_feed(self) -> None:
+        """Count a broken feed and open it again from a new socket."""
+        self.feed_breaks += 1
+        self.port += 1
+        self.open_feed()
+
+    def check_feed(self, silence_s: float) -> None:
+        """Count a feed that has been silent for too long as broken."""
+        if self.feed_token and self.feed_token not in self.open:
+            if self.scheduler.now - self.last_news > silence_s:
+                self.break_feed()
--- /dev/null
+++ b/src/heatheryoke/measure/process_model.py
@@ -0,0 +1,223 @@
+"""One process of the system in virtual time: a reducer, its port, its life and its pauses."""
+
+from collections.abc import Callable
+from itertools import count
+from typing import Any, Protocol
+
+from heatheryoke.core.agent import Agent
+from heatheryoke.core.effects import (
+    AnswerCaller,
+    BindFlow,
+    CloseFlow,
+    Count,
+    Deliver,
+    DiscardQueued,
+    FetchConfiguration,
+    LogChange,
+    Measure,
+    SendForward,
+    SendPeer,
+    Stopped,
+)
+from heatheryoke.core.events import (
+    Event,
+    FlowBound,
+    ForwardArrived,
+    PeerMessageArrived,
+    Tick,
+    UpstreamGone,
+    UpstreamPacket,
+)
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.messages import HOP_LIMIT
+from heatheryoke.core.node import TICK_S, Node
+from heatheryoke.inventory.document import Address
+from heatheryoke.measure.scheduler import Scheduler
+from heatheryoke.measure.upstream_model import UpstreamModel
+
+__all__ = ["ProcessModel", "Surroundings"]
+
+UPSTREAM_GONE_S = 0.0002
+FIRST_PORT = 20_000
+
+
+class Surroundings(Protocol):
+    """What a process reaches by its effects."""
+
+    def carry(self, source: str, to: Address, make_event: Callable[[float, Address], Event]) -> None:
+        """Carry a message to the process at an address."""
+
+    def note_control(self, source: str, message: Any) -> None:
+        """Account for a control message."""
+
+    def answer_caller(self, source: str, flow: FlowKey, payload: bytes) -> None:
+        """Carry an answer to a caller."""
+
+    def read_platform(self, process: "ProcessModel") -> None:
+        """Answer a read of the platform."""
+
+    def upstream_of(self, host: str, address: Address) -> UpstreamModel | None:
+        """Return the upstream at an address."""
+
+
+class ProcessModel:
+    """Feeds a reducer with events and carries out its effects."""
+
+    ports = count(FIRST_PORT)
+
+    def __init__(
+        self, name: str, address: Address, node: Node, scheduler: Scheduler, world: Surroundings
+    ):
+        self.name = name
+        self.address = address
+        self.node = node
+        self.scheduler = scheduler
+        self.world = world
+        self.is_alive = True
+        self.paused = False
+        self.queued: list[Callable[[float], Event]] = []
+        self.local_ports: dict[FlowKey, int] = {}
+        self.flows_by_port: dict[int, FlowKey] = {}
+        self.upstreams: dict[FlowKey, UpstreamModel] = {}
+        self.counters: dict[str, int] = {}
+        self.changes: list[tuple[float, LogChange]] = []
+        self.hops: list[int] = []
+        self.is_stopped = False
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            SendForward: self.send_forward,
+            SendPeer: self.send_peer,
+            BindFlow: self.bind_flow,
+            Deliver: self.deliver,
+            CloseFlow: self.close_flow,
+            AnswerCaller: self.answer_caller,
+            FetchConfiguration: lambda effect: world.read_platform(self),
+            DiscardQueued: lambda effect: self.queued.clear(),
+            Count: self.count,
+            Measure: lambda effect: None,
+            LogChange: lambda effect: self.changes.append((scheduler.now, effect)),
+            Stopped: self.note_stopped,
+        }
+        scheduler.after(0.0, self.tick)
+
+    # Life
+
+    def kill(self) -> None:
+        """End at once; every local port closes."""
+        self.is_alive = False
+        self.queued.clear()
+        self.flows_by_port.clear()
+
+    def pause(self, duration_s: float) -> None:
+        """Stand still; what arrives meanwhile queues up."""
+        self.paused = True
+        self.scheduler.after(duration_s, self.resume)
+
+    def resume(self) -> None:
+        """Go on with what has queued up."""
+        self.paused = False
+        while self.queued and self.is_alive:
+            make_event = self.queued.pop(0)
+            self.step(make_event(self.scheduler.now))
+
+    def tick(self) -> None:
+        """Send a tick and plan the next."""
+        if not self.is_alive:
+            return
+        self.scheduler.after(TICK_S, self.tick)
+        if not self.paused:
+            self.step(Tick(self.scheduler.now))
+
+    # Events
+
+    def take(self, make_event: Callable[[float], Event]) -> None:
+        """Take an event now, or when a pause ends."""
+        if not self.is_alive:
+            return
+        if self.paused:
+            self.queued.append(make_event)
+        else:
+            self.step(make_event(self.scheduler.now))
+
+    def step(self, event: Event) -> None:
+        """Reduce one event and carry out its effects."""
+        effects = self.node.reduce(event)
+        if isinstance(event, ForwardArrived) and isinstance(self.node, Agent):
+            self.note_hops(event)
+        for effect in effects:
+            self.handlers[type(effect)](effect)
+
+    def note_hops(self, event: ForwardArrived) -> None:
+        """Note how many processes a packet passed, once it is with its owner."""
+        if event.message.flow in self.node.flows.flows:
+            self.hops.append(HOP_LIMIT - event.message.hops + 1)
+
+    # Effects
+
+    def send_forward(self, effect: SendForward) -> None:
+        """Carry a caller's packet to another process."""
+        epoch = self.node.epoch
+        self.world.carry(
+            self.name,
+            effect.to,
+            lambda now, sender: ForwardArrived(now, sender, epoch, effect.message),
+        )
+
+    def send_peer(self, effect: SendPeer) -> None:
+        """Carry a control message to another process."""
+        epoch = self.node.epoch
+        self.world.note_control(self.name, effect.message)
+        self.world.carry(
+            self.name,
+            effect.to,
+            lambda now, sender: PeerMessageArrived(now, sender, epoch, effect.message),
+        )
+
+    def bind_flow(self, effect: BindFlow) -> None:
+        """Bind a flow's local port."""
+        upstream = self.world.upstream_of(self.name, effect.upstream)
+        wanted = effect.local_port
+        port = wanted if wanted and wanted not in self.flows_by_port else next(self.ports)
+        self.local_ports[effect.flow] = port
+        self.flows_by_port[port] = effect.flow
+        self.upstreams[effect.flow] = upstream
+        self.step(FlowBound(self.scheduler.now, effect.flow, port))
+
+    def deliver(self, effect: Deliver) -> None:
+        """Hand a datagram to the upstream."""
+        upstream = self.upstreams.get(effect.flow)
+        port = self.local_ports.get(effect.flow)
+        if upstream is None or port is None:
+            return
+        if upstream.is_up:
+            upstream.receive(port, effect.payload)
+        else:
+            self.scheduler.after(
+                UPSTREAM_GONE_S, lambda: self.take(lambda now: UpstreamGone(now, effect.flow))
+            )
+
+    def from_upstream(self, port: int, data: bytes) -> bool:
+        """Take a datagram from the upstream; False if the port is closed."""
+        flow = self.flows_by_port.get(port)
+        if flow is None or not self.is_alive:
+            return False
+        self.take(lambda now: UpstreamPacket(now, flow, data))
+        return True
+
+    def close_flow(self, effect: CloseFlow) -> None:
+        """Close a flow's local port."""
+        port = self.local_ports.pop(effect.flow, None)
+        self.flows_by_port.pop(port, None)
+        self.upstreams.pop(effect.flow, None)
+
+    def answer_caller(self, effect: AnswerCaller) -> None:
+        """Carry an answer to a caller."""
+        self.world.answer_caller(self.name, effect.flow, effect.payload)
+
+    def count(self, effect: Count) -> None:
+        """Add to a counter."""
+        self.counters[effect.name] = self.counters.get(effect.name, 0) + effect.amount
+
+    def note_stopped(self, effect: Stopped) -> None:
+        """End a graceful stop."""
+        self.is_stopped = True
+        self.kill()
--- /dev/null
+++ b/src/heatheryoke/measure/upstream_model.py
@@ -0,0 +1,159 @@
+"""A model of an upstream: slots, cold starts, standing feeds, and work that is recorded."""
+
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from heatheryoke.core.requests import RequestKind
+from heatheryoke.inventory.document import Endpoint
+from heatheryoke.measure.plain_codec import ANSWER, REFUSAL, PlainMessage
+from heatheryoke.measure.scheduler import Scheduler
+
+__all__ = ["Ledger", "UpstreamModel", "UpstreamTraits"]
+
+
+class UpstreamTraits(NamedTuple):
+    """How upstreams behave; a cold one bears `bearable` requests at once and is slower."""
+
+    service_s: float = 0.1
+    notify_s: float = 1.0
+    bearable: int = 1
+    warm_requests: int = 30
+    cold_factor: float = 3.0
+    restart_s: float = 2.0
+
+
+class Ledger:
+    """What all upstreams have run and received."""
+
+    def __init__(self):
+        self.runs: Counter[bytes] = Counter()
+        self.work: Counter[str] = Counter()
+        self.cold_overloads = 0
+        self.misdelivered = 0
+        self.over_slots = 0
+        self.last_delivery: dict[str, float] = {}
+
+    def doubled(self) -> int:
+        """Return how many ids were run more than once."""
+        return sum(1 for count in self.runs.values() if count > 1)
+
+
+Send = Callable[[int, bytes], bool]
+
+
+class UpstreamModel:
+    """One upstream process; `send` hands a datagram to a local port, False if it is closed."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        scheduler: Scheduler,
+        ledger: Ledger,
+        traits: UpstreamTraits,
+        seed: int,
+    ):
+        self.endpoint = endpoint
+        self.scheduler = scheduler
+        self.ledger = ledger
+        self.traits = traits
+        self.random = random.Random(seed)
+        self.send: Send = lambda port, data: False
+        self.running = 0
+        self.waiting: deque[tuple[int, PlainMessage]] = deque()
+        self.served = 0
+        self.incarnation = 0
+        self.is_up = True
+        self.feeds: dict[tuple[int, bytes], PlainMessage] = {}
+        self.ports: set[int] = set()
+        self.notified = 0
+        scheduler.after(self.random.random() * traits.notify_s, self.notify)
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether it has served too few requests since its start to be warm."""
+        return self.served < self.traits.warm_requests
+
+    def receive(self, port: int, data: bytes) -> None:
+        """Take a datagram from a local port of the agent."""
+        message = PlainMessage.decode(data)
+        self.ledger.last_delivery[self.endpoint.host] = self.scheduler.now
+        if not message.text.startswith(self.endpoint.service.encode() + b"|"):
+            self.ledger.misdelivered += 1
+        if message.kind is RequestKind.CONTROL:
+            return
+        if message.number and self.scheduler.now > message.number:
+            self.answer(port, message._replace(phase=REFUSAL))
+            return
+        if self.running < self.endpoint.slots:
+            self.begin(port, message)
+        else:
+            self.ledger.over_slots += 1
+            self.waiting.append((port, message))
+
+    def begin(self, port: int, message: PlainMessage) -> None:
+        """Start to work on a request; a cold upstream that gets too much falls over."""
+        self.running += 1
+        if self.is_cold and self.running > self.traits.bearable:
+            self.ledger.cold_overloads += 1
+            self.restart()
+            return
+        if message.request_id:
+            self.ledger.runs[message.request_id] += 1
+        factor = self.traits.cold_factor if self.is_cold else 1.0
+        took = self.random.expovariate(1 / (self.traits.service_s * factor))
+        incarnation = self.incarnation
+        self.scheduler.after(took, lambda: self.finish(port, message, incarnation))
+
+    def finish(self, port: int, message: PlainMessage, incarnation: int) -> None:
+        """Answer a request, and start the next."""
+        if incarnation != self.incarnation or not self.is_up:
+            return
+        self.running -= 1
+        self.served += 1
+        self.ledger.work[self.endpoint.host] += 1
+        if message.kind is RequestKind.FEED:
+            self.feeds[port, message.token] = message
+        elif message.kind is RequestKind.CANCEL:
+            self.feeds.pop((port, message.token), None)
+        self.answer(port, message._replace(phase=ANSWER, feed=message.kind is RequestKind.FEED))
+        if self.waiting and self.running < self.endpoint.slots:
+            self.begin(*self.waiting.popleft())
+
+    def answer(self, port: int, message: PlainMessage) -> None:
+        """Send an answer that echoes the request."""
+        text = message.text + b"|" + self.endpoint.host.encode()
+        self.send(port, message._replace(text=text).encode())
+
+    def notify(self) -> None:
+        """Send news on every feed; one whose port is closed ends."""
+        self.scheduler.after(self.traits.notify_s, self.notify)
+        if not self.is_up:
+            return
+        self.notified += 1
+        for (port, token), message in list(self.feeds.items()):
+            text = message.text + b"|" + self.endpoint.host.encode()
+            news = message._replace(
+                phase=ANSWER, feed=True, text=text, message_id=self.notified & 0xFFFF
+            )
+            if not self.send(port, news.encode()):
+                del self.feeds[port, token]
+
+    def restart(self, warm: bool = False) -> None:
+        """Lose everything and start again, cold unless told otherwise."""
+        self.incarnation += 1
+        self.is_up = False
+        self.running = 0
+        self.served = self.traits.warm_requests if warm else 0
+        self.waiting.clear()
+        self.feeds.clear()
+        self.scheduler.after(self.traits.restart_s, self.come_up)
+
+    def come_up(self) -> None:
+        """Listen again."""
+        self.is_up = True
+
+    def chill(self) -> None:
+        """Become cold without a restart."""
+        self.served = 0
--- /dev/null
+++ b/src/heatheryoke/measure/world.py
@@ -0,0 +1,358 @@
+"""A deployment in virtual time: fabric, platform, processes, upstreams and callers."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from itertools import count
+from typing import Any, NamedTuple
+
+from heatheryoke.core.agent import Agent
+from heatheryoke.core.balancer import Balancer
+from heatheryoke.core.events import (
+    CallerPacket,
+    ConfigurationOffered,
+    Event,
+    PlatformUnavailable,
+    StopRequested,
+)
+from heatheryoke.core.flows import FlowKey, PacketKind, flow_tuple
+from heatheryoke.core.node import Node
+from heatheryoke.inventory.document import (
+    Address,
+    Document,
+    FailureDomain,
+    Host,
+    HostState,
+    Protocol,
+    Role,
+)
+from heatheryoke.measure.caller_model import CallerModel, CallerTraits, Tally
+from heatheryoke.measure.naive import CachingBalancer, NaiveAgent, NaiveBalancer
+from heatheryoke.measure.network import FABRIC, Network
+from heatheryoke.measure.plain_codec import PlainCodec
+from heatheryoke.measure.process_model import ProcessModel
+from heatheryoke.measure.scheduler import Scheduler
+from heatheryoke.measure.upstream_model import Ledger, UpstreamModel, UpstreamTraits
+from heatheryoke.standins.deployments import Deployment, make_document
+from heatheryoke.wire.control import encode_control
+from heatheryoke.wire.envelope import BODY_OFFSET
+
+__all__ = ["POLICIES", "Load", "Policy", "World"]
+
+PLATFORM_S = 0.003
+WATCH_RETRY_S = 1.0
+DATAGRAM_HEADERS = 28
+CALLER_HOP_S = {"sundarban": 0.003, "sangam": 0.001}
+DOMAIN_HOP_S = {"sundarban": 0.0005, "sangam": 0.001}
+FEED_CHECK_S = 1.0
+FEED_SILENCE_S = 20.0
+
+
+class Policy(NamedTuple):
+    """The reducers that a policy runs."""
+
+    balancer: type[Balancer]
+    agent: type[Agent]
+
+
+POLICIES = {
+    "heatheryoke": Policy(Balancer, Agent),
+    "naive": Policy(NaiveBalancer, NaiveAgent),
+    "cache-only": Policy(CachingBalancer, NaiveAgent),
+}
+
+
+class Load(NamedTuple):
+    """How many callers there are, and the share of the slots that their requests take up."""
+
+    feeds: int = 105
+    sheet_callers: int = 30
+    share: float = 0.5
+
+
+class World:
+    """Everything of one measure; scenarios change it while it runs."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        policy: Policy,
+        seed: int,
+        load: Load = Load(),
+        traits: UpstreamTraits = UpstreamTraits(),
+    ):
+        self.deployment = deployment
+        self.policy = policy
+        self.traits = traits
+        self.random = random.Random(seed)
+        self.scheduler = Scheduler()
+        numbers = count(1)
+        self.document = make_document(
+            deployment, lambda: Address(f"10.1.0.{next(numbers)}", 5_683)
+        )
+        domains = {host.name: host.failure_domain for host in self.document.hosts}
+        hop_s = DOMAIN_HOP_S[deployment.name]
+        self.network = Network(self.scheduler, seed, domains, hop_s)
+        self.ledger = Ledger()
+        self.tally = Tally()
+        self.upstreams = self.make_upstreams(seed)
+        self.processes: dict[str, ProcessModel] = {}
+        self.by_address: dict[Address, str] = {row.address: row.name for row in self.document.hosts}
+        self.fabric_balancers: list[str] = []
+        self.platform_up = True
+        self.platform_document = self.document
+        self.platform_calls = 0
+        self.published_at: dict[int, float] = {}
+        self.in_force_at: dict[int, float] = {}
+        self.accepted: dict[tuple[str, int], int] = {}
+        self.epochs_reverted = 0
+        self.control_bytes: Counter[str] = Counter()
+        self.control_messages: Counter[str] = Counter()
+        self.withdrawals: list[tuple[float, float, str]] = []
+        self.withdrawn_traffic: dict[str, float] = {}
+        self.incarnations = count(1_000_000)
+        self.callers: dict[str, CallerModel] = {}
+        for host in self.document.hosts:
+            self.start_process(host, first_start=True)
+        self.make_callers(load)
+        self.scheduler.after(FEED_CHECK_S, self.check_feeds)
+        self.watch_configurations()
+
+    # Building
+
+    def make_upstreams(self, seed: int) -> dict[str, UpstreamModel]:
+        """Return the upstream of each host."""
+        return {
+            row.host: UpstreamModel(
+                row, self.scheduler, self.ledger, self.traits, seed * 1_000 + index
+            )
+            for index, row in enumerate(self.document.endpoints)
+        }
+
+    def make_callers(self, load: Load) -> None:
+        """Make callers whose requests take up `load.share` of the slots."""
+        main, sheets = self.document.services
+        deployment = self.deployment
+        slots = deployment.slots / self.traits.service_s
+        main_rate = slots * deployment.main_endpoints * load.share / load.feeds
+        sheet_rate = slots * deployment.sheet_endpoints * load.share / load.sheet_callers
+        feed_traits = CallerTraits(
+            main,
+            feed_path=deployment.feed_path,
+            write_path=deployment.write_path,
+            interval_s=1 / main_rate,
+        )
+        sheet_traits = CallerTraits(
+            sheets, sheet_path=deployment.sheet_path, interval_s=1 / sheet_rate
+        )
+        kinds = [feed_traits] * load.feeds + [sheet_traits] * load.sheet_callers
+        for number, traits in enumerate(kinds, start=1):
+            caller = CallerModel(
+                number, traits, self.scheduler, self.tally, self.from_caller, self.random
+            )
+            self.callers[flow_tuple(caller.flow).source.ip] = caller
+            self.scheduler.after(2.0 + self.random.random() * 3.0, caller.start)
+
+    def start_process(self, host: Host, first_start: bool = False) -> ProcessModel:
+        """Start a host's process anew."""
+        node = self.make_node(host, first_start)
+        process = ProcessModel(host.name, host.address, node, self.scheduler, self)
+        self.processes[host.name] = process
+        upstream = self.upstreams.get(host.name)
+        if upstream is not None:
+            upstream.send = process.from_upstream
+        if host.role is Role.BALANCER:
+            self.fabric_balancers.append(host.name)
+        return process
+
+    def make_node(self, host: Host, first_start: bool) -> Node:
+        """Return a fresh reducer for a host."""
+        incarnation = next(self.incarnations)
+        peers = tuple(row.address for row in self.document.hosts if row.name != host.name)[:3]
+        if host.role is Role.BALANCER:
+            return self.policy.balancer(host.name, incarnation, host.address, peers)
+        return self.policy.agent(
+            host.name,
+            incarnation,
+            self.scheduler.now,
+            {Protocol.COAP: PlainCodec},
+            peers,
+            first_start=first_start,
+        )
+
+    # Surroundings of a process
+
+    def carry(
+        self, source: str, to: Address, make_event: Callable[[float, Address], Event]
+    ) -> None:
+        """Carry a message to the process at an address."""
+        target = self.by_address.get(to)
+        if target is None:
+            return
+        sender = self.processes[source].address
+
+        def deliver() -> None:
+            self.note_withdrawn_traffic(source, target)
+            self.processes[target].take(lambda now: make_event(now, sender))
+
+        self.network.send(source, target, deliver)
+
+    def note_withdrawn_traffic(self, source: str, target: str) -> None:
+        """Note the last datagram that entered a withdrawn failure domain."""
+        domain = self.network.domains[target]
+        if self.network.domains.get(source) != domain and self.is_withdrawn(domain):
+            self.withdrawn_traffic[domain] = self.scheduler.now
+
+    def is_withdrawn(self, domain: str) -> bool:
+        """Tell whether operators have withdrawn a failure domain."""
+        return any(row.name == domain and row.withdrawn for row in self.document.failure_domains)
+
+    def note_control(self, source: str, message: Any) -> None:
+        """Account for a control message as it would be on the wire."""
+        size = len(encode_control(message)) + BODY_OFFSET + DATAGRAM_HEADERS
+        self.control_bytes[source] += size
+        self.control_messages[type(message).__name__] += size
+
+    def answer_caller(self, source: str, flow: FlowKey, payload: bytes) -> None:
+        """Carry an answer to a caller by way of the fabric."""
+        caller = self.callers.get(flow_tuple(flow).source.ip)
+        if caller is not None:
+            hop = CALLER_HOP_S[self.deployment.name]
+            deliver = lambda: self.scheduler.after(hop, lambda: caller.hear(flow, payload))  # noqa: E731
+            self.network.send(source, FABRIC, deliver)
+
+    def from_caller(self, flow: FlowKey, service: Address, payload: bytes) -> None:
+        """Spray a caller's datagram over the balancers."""
+        if not self.fabric_balancers:
+            return
+        name = self.random.choice(self.fabric_balancers)
+
+        def deliver() -> None:
+            self.processes[name].take(
+                lambda now: CallerPacket(now, flow, service, PacketKind.EITHER, payload)
+            )
+
+        hop = CALLER_HOP_S[self.deployment.name]
+        self.scheduler.after(hop, lambda: self.network.send(FABRIC, name, deliver))
+
+    def upstream_of(self, host: str, address: Address) -> UpstreamModel | None:
+        """Return the upstream at an address."""
+        return self.upstreams.get(host)
+
+    # The platform
+
+    def read_platform(self, process: ProcessModel) -> None:
+        """Answer a read, or fail it."""
+        self.platform_calls += 1
+        document = self.platform_document if self.platform_up else None
+
+        def answer(now: float) -> Event:
+            return ConfigurationOffered(now, document) if document else PlatformUnavailable(now)
+
+        self.scheduler.after(PLATFORM_S, lambda: process.take(answer))
+
+    def publish(self, document: Document) -> None:
+        """Publish a change under the next version; those that watch hear of it."""
+        self.document = document._replace(version=self.document.version + 1)
+        self.published_at[self.document.version] = self.scheduler.now
+        self.platform_document = self.document
+        self.tell_watchers()
+
+    def tell_watchers(self) -> None:
+        """Answer every watch, while the platform is up."""
+        if not self.platform_up:
+            self.scheduler.after(WATCH_RETRY_S, self.tell_watchers)
+            return
+        for process in self.processes.values():
+            if process.is_alive and process.node.watches_platform():
+                self.read_platform(process)
+
+    def watch_configurations(self) -> None:
+        """Note when each version is in force everywhere, and whether any process goes back."""
+        for name, process in self.processes.items():
+            if not process.is_alive or process.paused:
+                continue
+            incarnation = process.node.membership.incarnation
+            before = self.accepted.get((name, incarnation), 0)
+            self.epochs_reverted += process.node.epoch < before
+            self.accepted[name, incarnation] = process.node.epoch
+        live = [
+            process.node.epoch
+            for process in self.processes.values()
+            if process.is_alive and not process.paused
+        ]
+        for version in self.published_at:
+            if version not in self.in_force_at and live and min(live) >= version:
+                self.in_force_at[version] = self.scheduler.now
+        self.scheduler.after(0.05, self.watch_configurations)
+
+    # Changes that scenarios make
+
+    def set_host_state(self, name: str, state: HostState) -> None:
+        """Publish what operators have decided about a host."""
+        hosts = tuple(
+            row._replace(state=state) if row.name == name else row for row in self.document.hosts
+        )
+        self.publish(self.document._replace(hosts=hosts))
+
+    def set_withdrawn(self, domain: str, withdrawn: bool) -> None:
+        """Publish that a failure domain is withdrawn, or returns."""
+        domains = tuple(
+            FailureDomain(row.name, row.region, withdrawn) if row.name == domain else row
+            for row in self.document.failure_domains
+        )
+        self.publish(self.document._replace(failure_domains=domains))
+        if withdrawn:
+            self.withdrawals.append((self.scheduler.now, float("inf"), domain))
+        else:
+            began, _, _ = self.withdrawals.pop()
+            self.withdrawals.append((began, self.scheduler.now, domain))
+
+    def kill(self, name: str) -> None:
+        """Kill a process; the fabric sends it nothing more."""
+        if name in self.fabric_balancers:
+            self.fabric_balancers.remove(name)
+        self.processes[name].kill()
+
+    def restart(self, name: str, down_s: float = 1.0) -> None:
+        """Kill a process and start it anew, with nothing remembered."""
+        self.kill(name)
+        host = next(row for row in self.document.hosts if row.name == name)
+        self.scheduler.after(down_s, lambda: self.start_process(host))
+
+    def stop_gracefully(self, name: str, down_s: float = 1.0) -> None:
+        """Stop a process as an upgrade does, and start it anew once it has ended."""
+        if name in self.fabric_balancers:
+            self.fabric_balancers.remove(name)
+        process = self.processes[name]
+        process.take(StopRequested)
+        host = next(row for row in self.document.hosts if row.name == name)
+
+        def start_when_stopped() -> None:
+            if process.is_alive:
+                self.scheduler.after(0.1, start_when_stopped)
+            else:
+                self.scheduler.after(down_s, lambda: self.start_process(host))
+
+        start_when_stopped()
+
+    def check_feeds(self) -> None:
+        """Let callers notice that their feed has fallen silent."""
+        for caller in self.callers.values():
+            if caller.traits.feed_path:
+                caller.check_feed(FEED_SILENCE_S)
+        self.scheduler.after(FEED_CHECK_S, self.check_feeds)
+
+    # Reading
+
+    def agents(self) -> list[Agent]:
+        """Return the agents that live."""
+        return [
+            process.node
+            for process in self.processes.values()
+            if process.is_alive and isinstance(process.node, Agent)
+        ]
+
+    def run_until(self, end: float) -> None:
+        """Let time pass."""
+        self.scheduler.run_until(end)
--- a/src/heatheryoke/wire/coap.py
+++ b/src/heatheryoke/wire/coap.py
@@ -57,6 +57,7 @@
             self.request_id_of(message),
             path[0] if path else "",
             None if timeout_ms is None else timeout_ms / 1000,
+            message.opt.block2 is not None and message.opt.block2.block_number > 0,
         )
 
     def kind_of(self, message: Message) -> RequestKind:
--- /dev/null
+++ b/tests/test_request_engine.py
@@ -0,0 +1,155 @@
+"""The requests of owned flows: duplicates, claims, refusals, resets."""
+
+import pytest
+
+from heatheryoke.core.effects import AnswerCaller, Deliver
+from heatheryoke.core.history import TopologyHistory
+from heatheryoke.core.ownership import OwnedFlow, OwnedFlows
+from heatheryoke.core.request_engine import RequestEngine
+from heatheryoke.core.requests import RequestKind
+from heatheryoke.core.topology import Topology
+from heatheryoke.inventory.document import Address, Protocol
+from heatheryoke.measure.plain_codec import ANSWER, REFUSAL, REQUEST, PlainCodec, PlainMessage
+from heatheryoke.standins.deployments import DEPLOYMENTS, make_document
+
+
+def addresses():
+    numbers = iter(range(1, 1_000))
+    return lambda: Address(f"10.1.0.{next(numbers)}", 5_683)
+
+
+class Bench:
+    """One engine at upstream-1, with one flow, and no other witness."""
+
+    def __init__(self, deployment="sangam"):
+        document = make_document(DEPLOYMENTS[deployment], addresses())
+        endpoints = tuple(row for row in document.endpoints if row.host == "upstream-1")
+        self.topology = Topology(document._replace(endpoints=endpoints))
+        self.history = TopologyHistory(300.0)
+        self.history.use(self.topology, 0.0)
+        self.flows = OwnedFlows()
+        self.service = DEPLOYMENTS[deployment].main
+        self.engine = RequestEngine(
+            "upstream-1", 1, self.history, self.flows, {Protocol.COAP: PlainCodec}, 0.0
+        )
+        self.engine.witness.recovered(0.0)
+        self.owned = OwnedFlow(b"flow-a", self.service, 0, 0, 0.0)
+        self.flows.add(self.owned)
+        self.number = 0
+
+    def message(self, kind=RequestKind.WRITE, request_id=b"", path="holds"):
+        self.number += 1
+        token = b"t%d" % self.number
+        return PlainMessage(REQUEST, kind, self.number, path, token, request_id, b"x")
+
+    def send(self, message, now=0.0):
+        return self.engine.on_datagram(self.owned, message.encode(), now)
+
+    def answer(self, message, now=0.1):
+        return self.engine.on_answer(
+            self.owned, message._replace(phase=ANSWER, text=b"done").encode(), now
+        )
+
+
+def delivered(effects):
+    return [PlainMessage.decode(row.payload) for row in effects if isinstance(row, Deliver)]
+
+
+def answered(effects):
+    return [PlainMessage.decode(row.payload) for row in effects if isinstance(row, AnswerCaller)]
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+class TestDuplicates:
+    def test_a_request_in_progress_is_started_once(self, bench):
+        message = bench.message(request_id=b"id")
+        assert len(delivered(bench.send(message))) == 1
+        assert delivered(bench.send(message)) == []
+
+    def test_a_request_in_progress_is_known_however_many_came_after(self, bench):
+        first = bench.message(RequestKind.READ)
+        bench.send(first)
+        for _ in range(50):
+            bench.send(bench.message(RequestKind.READ))
+        bench.send(first, 0.05)
+        bench.answer(first)
+        assert len(bench.engine.admissions[bench.service].running) <= 1
+        assert (bench.owned.flow, first.token) not in bench.engine.pending
+
+    def test_an_answered_request_gets_the_same_answer_again(self, bench):
+        message = bench.message(request_id=b"id")
+        bench.send(message)
+        first = answered(bench.answer(message))
+        again = bench.send(message, 1.0)
+        assert answered(again) == first
+        assert delivered(again) == []
+
+    def test_the_same_id_under_another_token_gets_the_first_answer(self, bench):
+        message = bench.message(request_id=b"id")
+        bench.send(message)
+        bench.answer(message)
+        other = bench.message(request_id=b"id")
+        effects = bench.send(other, 1.0)
+        assert delivered(effects) == []
+        assert [(row.token, row.text) for row in answered(effects)] == [(other.token, b"done")]
+
+    def test_the_same_id_waits_while_the_first_runs(self, bench):
+        message = bench.message(request_id=b"id")
+        bench.send(message)
+        other = bench.message(request_id=b"id")
+        assert answered(bench.send(other)) == []
+        tokens = [row.token for row in answered(bench.answer(message))]
+        assert tokens == [message.token, other.token]
+
+
+class TestRefusals:
+    def fill(self, bench):
+        for _ in range(60):
+            bench.send(bench.message(RequestKind.READ, path="programmes"))
+
+    def test_an_overloaded_upstream_refuses_at_once_with_a_time(self, bench):
+        self.fill(bench)
+        message = bench.message(request_id=b"")
+        message = message._replace(request_class="programmes")
+        refusals = [row for row in answered(bench.send(message)) if row.phase == REFUSAL]
+        assert [row.token for row in refusals] == [message.token]
+        assert refusals[0].number >= 1.0
+
+    def test_a_heavier_request_takes_the_place_of_a_lighter_one(self, bench):
+        self.fill(bench)
+        hold = bench.message(request_id=b"id")
+        refused = [row.token for row in answered(bench.send(hold)) if row.phase == REFUSAL]
+        assert hold.token not in refused
+        assert len(refused) == 1
+
+    def test_a_refused_write_may_be_claimed_again(self, bench):
+        bench.send(bench.message(RequestKind.READ))
+        hold = bench.message(request_id=b"id")._replace(number=0.01)
+        refusals = answered(bench.send(hold)) + answered(bench.engine.advance(5.0))
+        assert [row.phase for row in refusals if row.token == hold.token] == [REFUSAL]
+        assert bench.engine.witness.claims == {}
+
+
+class TestAnswers:
+    def test_an_answer_without_a_request_is_dropped(self, bench):
+        assert answered(bench.answer(bench.message())) == []
+
+    def test_an_answer_goes_to_the_flow_that_asked(self, bench):
+        message = bench.message(request_id=b"id")
+        bench.send(message)
+        stranger = OwnedFlow(b"flow-b", bench.service, 0, 0, 0.0)
+        bench.flows.add(stranger)
+        payload = message._replace(phase=ANSWER).encode()
+        assert answered(bench.engine.on_answer(stranger, payload, 0.1)) == []
+        assert len(answered(bench.answer(message))) == 1
+
+    def test_a_request_that_ran_out_of_time_is_unknown_and_never_not_run(self, bench):
+        message = bench.message(request_id=b"id")._replace(number=2.0)
+        bench.send(message)
+        (answer,) = answered(bench.engine.advance(2.5))
+        assert answer.token == message.token
+        assert answer.phase != REFUSAL
