--- a/src/heatheryoke/core/admission.py
+++ b/src/heatheryoke/core/admission.py
@@ -13,9 +13,11 @@
 MAXIMUM_WAIT_S = 1.0
 FIRST_SERVICE_S = 0.1
 BASELINE_GAIN = 0.05
+BASELINE_SAMPLES = 10
 SLOWNESS_CAP = 6.0
 SLOWNESS_ALLOWED = 2.0
 SLOWNESS_ALARM = 8.0
+PROBE_S = 0.5
 MAXIMUM_QUEUE = 1_000
 
 
@@ -60,8 +62,9 @@
         self.state = UpstreamState.COLD
         self.since = now
         self.running: dict[tuple[bytes, bytes], ActiveRequest] = {}
+        self.renewals: dict[tuple[bytes, bytes], ActiveRequest] = {}
         self.queue: SortedKeyList[ActiveRequest] = SortedKeyList(key=_priority)
-        self.baselines: dict[str, float] = {}
+        self.baselines: dict[str, tuple[int, float]] = {}
         self.service_s = FIRST_SERVICE_S
         self.slowness = 0.0
         self.gap_until = now
@@ -81,32 +84,40 @@
         """Return the work outstanding as a share of the limit."""
         return self.outstanding / self.limit
 
-    def wait_s(self, ahead: int) -> float:
+    def wait_s(self, ahead: int, now: float) -> float:
         """Estimate how long a request waits with so many others before it in the queue."""
-        return (ahead + 1) * self.service_s / self.limit
+        return max(0.0, self.gap_until - now) + (ahead + 1) * self.service_s / self.limit
 
-    def retry_s(self) -> float:
+    def retry_s(self, now: float) -> float:
         """Estimate when a refused caller will find room."""
-        return max(1.0, self.wait_s(len(self.queue)))
+        return max(1.0, self.wait_s(len(self.queue), now))
 
     def offer(self, request: ActiveRequest, now: float) -> Decision:
-        """Take a request: it starts, waits, or is refused; a lighter one may make room."""
-        if self.has_slot(now) and not self.queue:
+        """Take a request: it starts, waits, or is refused; a lighter one may make room.
+
+        The requests refused may be others than the one offered.
+        """
+        if self.has_slot(now) and not self.queue and not self.renewals:
             return Decision([self.begin(request, now)], [])
         request.phase = RequestPhase.QUEUED
         self.queue.add(request)
         return Decision([], self.overflow(now))
 
+    def renew(self, renewal: ActiveRequest) -> None:
+        """Queue the renewal of a feed, before all requests."""
+        self.renewals[renewal.flow, renewal.request.token] = renewal
+
     def overflow(self, now: float) -> list[ActiveRequest]:
         """Remove the requests at the end that could not start in time."""
         refused: list[ActiveRequest] = []
-        allowed = min(MAXIMUM_QUEUE, ceil(MAXIMUM_WAIT_S * self.limit / self.service_s))
+        wait_s = max(0.0, MAXIMUM_WAIT_S - max(0.0, self.gap_until - now))
+        allowed = min(MAXIMUM_QUEUE, ceil(wait_s * self.limit / self.service_s))
         while len(self.queue) > allowed:
             refused.append(self.queue.pop())
         late = [
             request
             for ahead, request in enumerate(self.queue)
-            if now + self.wait_s(ahead) > request.deadline
+            if now + self.wait_s(ahead, now) > request.deadline
         ]
         for request in late:
             self.queue.remove(request)
@@ -117,6 +128,8 @@
         self.notice_overdue(now)
         refused = self.overflow(now) if self.queue else []
         started: list[ActiveRequest] = []
+        while self.renewals and self.has_slot(now):
+            started.append(self.begin(self.renewals.pop(next(iter(self.renewals))), now))
         while self.queue and self.has_slot(now):
             started.append(self.begin(self.queue.pop(0), now))
         return Decision(started, refused)
@@ -158,9 +171,7 @@
         if not request.overdue and self.note_slowness(request, took):
             self.chill(now, ColdReason.SLOW)
             return
-        request_class = request.request.request_class
-        baseline = self.baselines.get(request_class, took)
-        self.baselines[request_class] = baseline + BASELINE_GAIN * (took - baseline)
+        self.adjust_baseline(request.request.request_class, took)
         self.service_s += BASELINE_GAIN * (took - self.service_s)
         self.good_answers += 1
         grown = max(0.0, self.good_answers / self.warm_answers - 1)
@@ -169,10 +180,21 @@
             self.state = UpstreamState.WARM
             self.since = now
 
+    def baseline(self, request: ActiveRequest) -> float | None:
+        """Return the usual service time of a request's class, None while it is not known."""
+        samples, mean = self.baselines.get(request.request.request_class, (0, 0.0))
+        return mean if samples >= BASELINE_SAMPLES else None
+
+    def adjust_baseline(self, request_class: str, took: float) -> None:
+        """Take a service time into the mean of its class, which later ones move less and less."""
+        samples, mean = self.baselines.get(request_class, (0, 0.0))
+        gain = max(BASELINE_GAIN, 1 / (samples + 1))
+        self.baselines[request_class] = (samples + 1, mean + gain * (took - mean))
+
     def note_slowness(self, request: ActiveRequest, took: float) -> bool:
         """Add to the cumulative sum of slowness; tell whether it raises the alarm."""
-        baseline = self.baselines.get(request.request.request_class)
-        if not baseline:
+        baseline = self.baseline(request)
+        if baseline is None:
             return False
         excess = min(took / baseline, SLOWNESS_CAP) - SLOWNESS_ALLOWED
         self.slowness = max(0.0, self.slowness + excess)
@@ -181,14 +203,20 @@
     def notice_overdue(self, now: float) -> None:
         """Count a request as slow before its answer is there."""
         for request in list(self.running.values()):
-            baseline = self.baselines.get(request.request.request_class)
-            if request.overdue or not baseline:
+            baseline = self.baseline(request)
+            if request.overdue or baseline is None:
                 continue
             if now - request.started > SLOWNESS_CAP * baseline:
                 request.overdue = True
                 if self.note_slowness(request, now - request.started):
                     self.chill(now, ColdReason.SLOW)
 
+    def note_gone(self, now: float) -> None:
+        """Take it that the upstream has lost its work; what comes next is tried now and then."""
+        self.running.clear()
+        self.gap_until = now + PROBE_S
+        self.chill(now, ColdReason.GONE)
+
     def chill(self, now: float, reason: ColdReason) -> None:
         """Take the upstream to be cold: its limit falls to the floor at once."""
         self.cold_reason = reason
--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -23,9 +23,13 @@
     UpstreamPacket,
 )
 from heatheryoke.core.flows import FlowKey, PacketKind, describe_flow, flow_tuple
+from heatheryoke.core.handover import Handover, HandoverLog
 from heatheryoke.core.history import TopologyHistory
 from heatheryoke.core.messages import (
     HOP_LIMIT,
+    ClaimHandover,
+    ClaimHandoverAck,
+    ClaimHandoverDone,
     ClaimRelease,
     ClaimReply,
     ClaimRequest,
@@ -59,6 +63,8 @@
 HINTS_PER_S = 20.0
 HINT_BURST = 40.0
 STOP_LIMIT_S = 25.0
+SPARE_IDLE_S = 5.0
+SPARE_SEARCH = 20
 NO_ROOM_RETRY_S = 2.0
 
 
@@ -97,8 +103,10 @@
             claim_lifetime_s,
         )
         if first_start:
-            self.engine.witness.recovered(started)
+            self.engine.claims.witness.recovered(started)
         self.withdrawn = False
+        self.handover: Handover | None = None
+        self.handovers = HandoverLog()
         self.hint_tokens = HINT_BURST
         self.hint_refill_at = started
         self.event_handlers |= {
@@ -116,6 +124,9 @@
             ClaimRequest: self.on_claim_request,
             ClaimReply: self.on_claim_reply,
             ClaimRelease: self.on_claim_release,
+            ClaimHandover: self.on_claim_handover,
+            ClaimHandoverAck: self.on_claim_handover_ack,
+            ClaimHandoverDone: self.on_claim_handover_done,
             ResultRequest: self.on_result_request,
             ResultReply: self.on_result_reply,
         }
@@ -151,12 +162,34 @@
         self.directory.expire(now, EXPIRY_BATCH)
         self.renew(now)
         effects += self.registrar.flush(self.topology, now)
-        return effects + self.recovery.advance(now)
+        effects += self.recovery.advance(now)
+        return effects + self.hand_over(now)
+
+    def hand_over(self, now: float) -> list[Effect]:
+        """While stopping, give this witness's claims to its peers once nothing is in progress."""
+        if self.stopping_since is None:
+            return []
+        self.engine.is_closing = True
+        if self.handover is None and self.engine.is_idle() and self.registrar.is_idle():
+            claims = self.engine.claims
+            claims.witness.close()
+            peers = self.topology.peers_of(self.host_name)
+            self.handover = Handover(
+                self.host_name, peers, lambda name: claims.records_for(name, now)
+            )
+        if self.handover is None:
+            return []
+        return self.handover.advance(now, self.may_skip_handover)
+
+    def may_skip_handover(self, peer: str) -> bool:
+        """Tell whether a peer is gone in a way that makes it read back all claims itself."""
+        return self.membership.is_suspected(peer) and peer not in self.handovers.begun
 
     def is_idle(self, now: float) -> bool:
-        """Tell whether no request is in progress, or waiting longer is of no use."""
-        overdue = self.stopping_since is not None and now - self.stopping_since > STOP_LIMIT_S
-        return overdue or (self.engine.is_idle() and self.registrar.is_idle())
+        """Tell whether nothing is in progress and all claims are handed over, or time is up."""
+        if self.stopping_since is not None and now - self.stopping_since > STOP_LIMIT_S:
+            return True
+        return self.handover is not None and self.handover.is_done
 
     # Callers' packets
 
@@ -307,7 +340,7 @@
         if not self.topology.is_placeable(host):
             return inf
         flows = self.flows.count(service)
-        if flows >= endpoint.connections:
+        if flows >= endpoint.connections and self.spare_flow(service, now) is None:
             return inf
         return (flows + self.engine.load(service, now)) / endpoint.weight
 
@@ -330,13 +363,29 @@
         if endpoint is None:
             return [Count("dropped_no_endpoint")]
         is_new = message.local_port == 0
+        effects: list[Effect] = []
         if is_new and self.flows.count(service.name) >= endpoint.connections:
-            return self.refuse_flow(message, service)
+            spare = self.spare_flow(service.name, now)
+            if spare is None:
+                return self.refuse_flow(message, service)
+            effects = [Count("flows_spared"), *self.give_up(spare, now)]
         owned = OwnedFlow(message.flow, service.name, generation, message.local_port, now)
         self.adopt(owned, now)
         counted = Count("flows_opened" if is_new else "flows_readopted")
         bind = BindFlow(message.flow, endpoint.address, message.local_port)
-        return [counted, bind, *self.deliver(owned, message, now)]
+        return [*effects, counted, bind, *self.deliver(owned, message, now)]
+
+    def spare_flow(self, service: str, now: float) -> OwnedFlow | None:
+        """Return the flow that has been silent longest, if it can make room for a new one.
+
+        It has no feed and no open request; flows of protocols that are not read are never spare.
+        """
+        if self.topology.services[service].protocol is Protocol.OPAQUE:
+            return None
+        for owned in self.flows.idle(service, now - SPARE_IDLE_S, SPARE_SEARCH):
+            if not owned.feeds and not self.engine.has_pending(owned.flow):
+                return owned
+        return None
 
     def adopt(self, owned: OwnedFlow, now: float) -> None:
         """Enter a flow into the tables."""
@@ -490,9 +539,10 @@
             for owned in self.flows.flows.values()
             if request.host in owned.homes
         ]
-        complete = not self.engine.witness.is_recovering(event.now)
-        claims = self.engine.witness.records(event.now)
-        replies = recovery_replies(request, complete, entries, claims)
+        complete = not self.engine.claims.witness.is_recovering(event.now)
+        claims = self.engine.claims.records_for(request.host, event.now)
+        handed_over = self.handovers.redeem(request.host, request.incarnation)
+        replies = recovery_replies(request, complete, handed_over, entries, claims)
         return [SendPeer(event.sender, reply) for reply in replies]
 
     def on_recovery_reply(self, event: PeerMessageArrived) -> list[Effect]:
@@ -508,13 +558,32 @@
         for row in reply.entries:
             effects += self.take_back(row, event.now)
         for record in reply.claims:
-            self.engine.witness.restore(record, event.now)
+            self.engine.claims.witness.restore(record, event.now)
         self.recovery.note(peer, reply)
-        if self.recovery.has_claims() and self.engine.witness.is_recovering(event.now):
-            self.engine.witness.recovered(event.now)
+        if self.recovery.has_claims() and self.engine.claims.witness.is_recovering(event.now):
+            self.engine.claims.witness.recovered(event.now)
             effects.append(LogChange(self.host_name, "recovered", "claims read back"))
         return effects
 
+    def on_claim_handover(self, event: PeerMessageArrived) -> list[Effect]:
+        """Keep the claims of a witness that stops."""
+        message = event.message
+        self.handovers.begin(message.host)
+        for record in message.claims:
+            self.engine.claims.witness.restore(record, event.now)
+        return [SendPeer(event.sender, ClaimHandoverAck(self.host_name, message.part))]
+
+    def on_claim_handover_ack(self, event: PeerMessageArrived) -> list[Effect]:
+        """Note that a peer holds a part of this witness's claims."""
+        if self.handover is not None:
+            self.handover.acknowledge(event.message.host, event.message.part)
+        return []
+
+    def on_claim_handover_done(self, event: PeerMessageArrived) -> list[Effect]:
+        """Remember that a peer's next process may grant claims at once."""
+        self.handovers.finish(event.message.host)
+        return []
+
     def take_back(self, row: Registration, now: float) -> list[Effect]:
         """Take back one flow, as its owner or as its home."""
         if row.owner != self.host_name:
@@ -539,20 +608,21 @@
 
     def on_claim_request(self, event: PeerMessageArrived) -> list[Effect]:
         """Answer a claim as a witness."""
-        return self.engine.on_claim_request(event.sender, event.message, event.now)
+        return self.engine.claims.on_claim_request(event.sender, event.message, event.now)
 
     def on_claim_reply(self, event: PeerMessageArrived) -> list[Effect]:
         """Take a witness's answer."""
-        return self.engine.on_claim_reply(event.message, event.now)
+        return self.engine.claims.on_claim_reply(event.message, event.now)
 
     def on_claim_release(self, event: PeerMessageArrived) -> list[Effect]:
         """Forget a claim that was given back."""
-        return self.engine.on_claim_release(event.message)
+        self.engine.claims.witness.release(event.message)
+        return []
 
     def on_result_request(self, event: PeerMessageArrived) -> list[Effect]:
         """Tell another agent what became of a request."""
-        return self.engine.on_result_request(event.sender, event.message)
+        return self.engine.claims.on_result_request(event.sender, event.message, event.now)
 
     def on_result_reply(self, event: PeerMessageArrived) -> list[Effect]:
         """Take another agent's answer to a request that waits here."""
-        return self.engine.on_result_reply(event.message, event.now)
+        return self.engine.claims.on_result_reply(event.message, event.now)
--- a/src/heatheryoke/core/claims.py
+++ b/src/heatheryoke/core/claims.py
@@ -5,6 +5,7 @@
 """
 
 from enum import Enum
+from math import inf
 from typing import NamedTuple
 
 from heatheryoke.core.messages import (
@@ -45,6 +46,10 @@
         self.claims: dict[bytes, Held] = {}
         self.recovering_until = started + lifetime_s
 
+    def close(self) -> None:
+        """Grant nothing more, since this process stops."""
+        self.recovering_until = inf
+
     def is_recovering(self, now: float) -> bool:
         """Tell whether claims may be missing."""
         return now < self.recovering_until
--- a/src/heatheryoke/core/history.py
+++ b/src/heatheryoke/core/history.py
@@ -53,6 +53,13 @@
         present = self.current.view(service).homes(flow)
         return former if former[:1] != present[:1] else []
 
+    def find_host(self, name: str) -> Host | None:
+        """Return a host as the newest topology that knows it has it."""
+        for topology in (self.current, *(row.topology for row in reversed(self.superseded))):
+            if name in topology.hosts:
+                return topology.hosts[name]
+        return None
+
     def witness_sets(self, service: str, request_id: bytes, now: float) -> WitnessSets:
         """Return every witness set of a request id during the lifetime of a claim."""
         topologies = [row.topology for row in self.superseded if now - row.until < self.keep_s]
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -10,6 +10,9 @@
     "HOP_LIMIT",
     "Accusation",
     "Accusations",
+    "ClaimHandover",
+    "ClaimHandoverAck",
+    "ClaimHandoverDone",
     "ClaimRecord",
     "ClaimRelease",
     "ClaimReply",
@@ -119,26 +122,50 @@
 
 
 class RecoveryRequest(NamedTuple):
-    """A restarted agent asks a peer for what it held."""
+    """A restarted agent asks a peer for what it held; the answer repeats the question's number."""
 
     host: str
     incarnation: int
+    question: int
 
 
 class RecoveryReply(NamedTuple):
     """One part of a peer's answer to a recovery request.
 
-    `complete` is False while the peer itself has not recovered its claims.
+    `complete` is False while the peer itself has not recovered its claims; `handed_over` tells
+    that the asker's former process gave its claims to every peer before it stopped.
     """
 
-    incarnation: int
+    question: int
     part: int
     parts: int
     complete: bool
+    handed_over: bool
     entries: tuple[Registration, ...]
     claims: tuple[ClaimRecord, ...]
 
 
+class ClaimHandover(NamedTuple):
+    """Claims that a stopping witness gives to another."""
+
+    host: str
+    part: int
+    claims: tuple[ClaimRecord, ...]
+
+
+class ClaimHandoverAck(NamedTuple):
+    """Tells a stopping witness that `host` holds a part of its claims."""
+
+    host: str
+    part: int
+
+
+class ClaimHandoverDone(NamedTuple):
+    """Tells that every peer holds the claims of `host`, which stops."""
+
+    host: str
+
+
 class Heartbeat(NamedTuple):
     """Sent each second by a process to those that watch it."""
 
@@ -228,19 +255,25 @@
 
 
 class ResultRequest(NamedTuple):
-    """Asks the holder of a claim for the answer to the request."""
+    """Asks the holder of a claim for the answer to the request, asked here `age_s` ago."""
 
     request_id: bytes
     holder_attempt: int
+    age_s: float
 
 
 class ResultState(IntEnum):
-    """What the holder of a claim says about it."""
+    """What the holder of a claim says about it.
+
+    RELEASED: it was never started, and may be claimed anew. REFUSED: the same, but its caller was
+    told so after the asker's request had arrived, so that the asker must refuse it too.
+    """
 
     PENDING = 0
     ANSWERED = 1
     RELEASED = 2
     UNKNOWN = 3
+    REFUSED = 4
 
 
 class ResultReply(NamedTuple):
@@ -259,6 +292,9 @@
     | Yield
     | RecoveryRequest
     | RecoveryReply
+    | ClaimHandover
+    | ClaimHandoverAck
+    | ClaimHandoverDone
     | Heartbeat
     | Accusations
     | EpochNotice
--- a/src/heatheryoke/core/node.py
+++ b/src/heatheryoke/core/node.py
@@ -41,6 +41,7 @@
 PAUSE_S = 1.0
 CONFIRM_RETRY_S = 0.5
 CONFIRM_PEERS = 3
+FIRST_MESSAGES = (EpochNotice, ConfigurationRequest, ConfigurationPart)
 
 Handler = Callable[[Any], list[Effect]]
 
@@ -219,6 +220,8 @@
     def on_peer_message(self, event: PeerMessageArrived) -> list[Effect]:
         """Fetch a newer epoch if the sender has one, then handle the message."""
         effects = self.configuration.request_from(event.sender, event.epoch, event.now)
+        if self.topology is None and type(event.message) not in FIRST_MESSAGES:
+            return [*effects, Count("dropped_no_configuration")]
         handler = self.message_handlers.get(type(event.message))
         if handler is None:
             return [*effects, Count("unexpected_messages")]
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -20,8 +20,8 @@
 class OwnedFlow:
     """One flow that this host's upstream serves.
 
-    `answers` holds the latest answers by message id, for requests that arrive twice; `feeds` holds the request that opened each
-    standing feed, by token.
+    `answers` holds the latest answers by message id, for requests that arrive twice; `feeds`
+    holds the request that opened each standing feed, by token.
     """
 
     __slots__ = (
--- a/src/heatheryoke/core/recovery.py
+++ b/src/heatheryoke/core/recovery.py
@@ -24,6 +24,7 @@
     def __init__(self, host_name: str, incarnation: int):
         self.host_name = host_name
         self.incarnation = incarnation
+        self.question = 0
         self.started: float | None = None
         self.retry_at = 0.0
         self.peers: dict[str, Host] = {}
@@ -31,6 +32,7 @@
         self.whole: set[str] = set()
         self.complete: set[str] = set()
         self.asks_for_claims = False
+        self.not_handed_over = False
 
     def begin(self, peers: list[Host], now: float) -> list[Effect]:
         """Ask every peer."""
@@ -40,18 +42,20 @@
         return self.ask(peers)
 
     def ask(self, peers: list[Host]) -> list[Effect]:
-        """Ask some peers for what they hold."""
-        request = RecoveryRequest(self.host_name, self.incarnation)
+        """Ask some peers for what they hold, under a new number."""
+        self.question += 1
+        self.parts.clear()
+        request = RecoveryRequest(self.host_name, self.incarnation, self.question)
         return [SendPeer(peer.address, request) for peer in peers]
 
     def advance(self, now: float) -> list[Effect]:
         """Turn to claims when it is time, and ask the silent again."""
         if self.started is None or now - self.started > GIVE_UP_S:
             return []
+        if self.was_handed_over():
+            return []
         if not self.asks_for_claims and now - self.started > RECOVERY_DELAY_S:
             self.asks_for_claims = True
-            self.parts.clear()
-            self.complete.clear()
             self.retry_at = now + RETRY_S
             return self.ask(list(self.peers.values()))
         if now < self.retry_at:
@@ -62,8 +66,9 @@
 
     def note(self, peer: str, reply: RecoveryReply) -> None:
         """Count a part of a peer's answer."""
-        if reply.incarnation != self.incarnation:
+        if reply.question != self.question:
             return
+        self.not_handed_over = self.not_handed_over or not reply.handed_over
         parts = self.parts.setdefault(peer, set())
         parts.add(reply.part)
         if len(parts) == reply.parts:
@@ -77,14 +82,24 @@
             return False
         return self.whole >= set(self.peers) or now - self.started > FLOW_RECOVERY_S
 
+    def was_handed_over(self) -> bool:
+        """Tell whether every peer says that the former process had handed over its claims.
+
+        One that denies it has seen a later process, whose claims may be lost.
+        """
+        return bool(self.peers) and self.whole >= set(self.peers) and not self.not_handed_over
+
     def has_claims(self) -> bool:
-        """Tell whether every other possible witness's claims have been read back."""
+        """Tell whether no claim can be missed: all were read back, or handed over before."""
+        if self.was_handed_over():
+            return True
         return self.asks_for_claims and bool(self.peers) and self.complete >= set(self.peers)
 
 
 def recovery_replies(
     request: RecoveryRequest,
     complete: bool,
+    handed_over: bool,
     entries: list[Registration],
     claims: list[ClaimRecord],
 ) -> list[RecoveryReply]:
@@ -94,10 +109,11 @@
     parts = max(1, entry_parts, claim_parts)
     return [
         RecoveryReply(
-            request.incarnation,
+            request.question,
             part,
             parts,
             complete,
+            handed_over,
             tuple(entries[part * ENTRIES_PER_PART : (part + 1) * ENTRIES_PER_PART]),
             tuple(claims[part * CLAIMS_PER_PART : (part + 1) * CLAIMS_PER_PART]),
         )
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -1,11 +1,12 @@
 """Runs callers' requests at this host's upstreams: admission, claims, answers, refusals."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from math import inf
 
 import xxhash
 
-from heatheryoke.core.admission import Admission, ColdReason, Decision
-from heatheryoke.core.claims import CLAIM_LIFETIME_S, Claimant, Finished, Outcome, Witness
+from heatheryoke.core.admission import Admission, Decision
+from heatheryoke.core.claims import CLAIM_LIFETIME_S
 from heatheryoke.core.effects import (
     AnswerCaller,
     Count,
@@ -13,19 +14,9 @@
     Effect,
     LogChange,
     Measure,
-    SendPeer,
 )
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.history import TopologyHistory
-from heatheryoke.core.messages import (
-    ClaimRelease,
-    ClaimReply,
-    ClaimRequest,
-    ClaimVerdict,
-    ResultReply,
-    ResultRequest,
-    ResultState,
-)
 from heatheryoke.core.ownership import OwnedFlow, OwnedFlows
 from heatheryoke.core.requests import (
     ActiveRequest,
@@ -37,22 +28,21 @@
     RequestKind,
     RequestPhase,
 )
-from heatheryoke.core.runs import Run, Runs
-from heatheryoke.inventory.document import Address, Protocol, Service
+from heatheryoke.core.write_claims import ClaimOutcomes, WriteClaims
+from heatheryoke.inventory.document import Protocol, Service
 
 __all__ = ["RequestEngine"]
 
 DEFAULT_TIMEOUT_S = 30.0
-RESULT_POLL_S = 0.5
-RESULT_SILENCE_S = 1.5
 SLOT_HOLD_S = 10.0
+RENEWAL_TIMEOUT_S = 3.0
 START_WINDOW_S = 30.0
 
 RequestId = tuple[FlowKey, bytes]
 Handler = Callable[[OwnedFlow, Request, bytes, float], list[Effect]]
 
 
-class RequestEngine:
+class RequestEngine(ClaimOutcomes):
     """The requests of the flows that this host owns.
 
     A non-idempotent request with an id is claimed first, then admitted, so that a refusal which
@@ -80,14 +70,8 @@
         self.admissions: dict[str, Admission] = {}
         self.pending: dict[RequestId, ActiveRequest] = {}
         self.feeds: dict[RequestId, ActiveRequest] = {}
-        self.claimant = Claimant(host_name, incarnation)
-        self.witness = Witness(host_name, started, claim_lifetime_s)
-        self.runs = Runs(claim_lifetime_s)
-        self.claiming: dict[bytes, ActiveRequest] = {}
-        self.waiting: dict[bytes, list[ActiveRequest]] = {}
-        self.holders: dict[bytes, tuple[str, int]] = {}
-        self.heard_holder: dict[bytes, float] = {}
-        self.poll_at: dict[bytes, float] = {}
+        self.claims = WriteClaims(host_name, incarnation, history, self, started, claim_lifetime_s)
+        self.is_closing = False
         self.handlers: dict[RequestKind, Handler] = {
             RequestKind.READ: self.on_read,
             RequestKind.FEED: self.on_read,
@@ -129,6 +113,10 @@
         """Return the work outstanding at an upstream as a share of its limit."""
         return self.admission(service, now).load()
 
+    def has_pending(self, flow: FlowKey) -> bool:
+        """Tell whether a flow has an open request."""
+        return any(key[0] == flow for key in self.pending)
+
     def is_idle(self) -> bool:
         """Tell whether no request is in progress."""
         return not self.pending
@@ -136,10 +124,15 @@
     # Callers' datagrams
 
     def on_datagram(self, owned: OwnedFlow, payload: bytes, now: float) -> list[Effect]:
-        """Take a caller's datagram of a flow that this host owns."""
+        """Take a caller's datagram of a flow that this host owns.
+
+        While this process stops it takes no new request; the caller's transport sends it again.
+        """
         request = self.codec_of(owned.service).read_request(payload)
         if request is None:
             return [Count("malformed_requests")]
+        if self.is_closing and request.kind is not RequestKind.CONTROL:
+            return [Count("dropped_stopping")]
         return self.handlers[request.kind](owned, request, payload, now)
 
     def on_control(
@@ -172,19 +165,14 @@
     def on_write(
         self, owned: OwnedFlow, request: Request, payload: bytes, now: float
     ) -> list[Effect]:
-        """Claim a non-idempotent request, unless this host has run it or is about to."""
+        """Claim a non-idempotent request before it is admitted."""
         repeated = self.repeated(owned, request)
         if repeated is not None:
             return repeated
         active = self.activate(owned, request, payload, now)
         if not request.request_id:
             return [Count("writes_without_id"), *self.admit(active, now)]
-        run = self.runs.find(request.request_id)
-        if run is not None:
-            return self.join_run(active, run, now)
-        if request.request_id in self.claiming or request.request_id in self.waiting:
-            return self.wait(active)
-        return self.claim(active, now)
+        return self.claims.take(active, now)
 
     def repeated(self, owned: OwnedFlow, request: Request) -> list[Effect] | None:
         """Answer a datagram that arrived before; None if it is new."""
@@ -233,6 +221,8 @@
 
     def start(self, active: ActiveRequest, now: float) -> list[Effect]:
         """Hand a request to the upstream, unless its claim is about to lapse."""
+        if active.renews:
+            return self.start_renewal(active, now)
         if active.attempt and now - active.arrived > START_WINDOW_S:
             self.admission(active.service, now).abandon(active)
             return self.refuse(active, RefusalReason.EXPIRED, now)
@@ -246,15 +236,13 @@
     def refuse(self, active: ActiveRequest, reason: RefusalReason, now: float) -> list[Effect]:
         """Give a request its final answer at once, with when to come back."""
         self.pending.pop((active.flow, active.request.token), None)
-        retry_s = self.admission(active.service, now).retry_s()
+        retry_s = self.admission(active.service, now).retry_s(now)
         answer = self.codec_of(active.service).refusal(
             active.payload, reason, spread(retry_s, active)
         )
         effects: list[Effect] = [Count(f"refused_{reason.name.lower()}")]
         if active.attempt and reason.not_run:
-            effects += self.release(active.request.request_id, active.attempt, active.service, now)
-            for waiting in self.waiting.pop(active.request.request_id, []):
-                effects += self.refuse(waiting, reason, now)
+            effects += self.claims.refuse_run(active, reason, now)
         if answer:
             self.remember(active, answer)
             effects.append(AnswerCaller(active.flow, answer))
@@ -302,14 +290,15 @@
         if admission.cold_starts > was_cold:
             reason = admission.cold_reason.value
             effects.append(LogChange(f"{owned.service} on {self.host_name}", "cold", reason))
+            self.renew_feeds(owned.service, now)
         del self.pending[active.flow, active.request.token]
         if active.phase is RequestPhase.RUNNING:
             owned.remember(active.request.message_id, payload)
             effects.append(AnswerCaller(owned.flow, payload))
-            if feed and active.request.kind is RequestKind.FEED:
-                self.open_feed(owned, active)
+            if active.request.kind is RequestKind.FEED:
+                self.settle_feed(owned, active, feed)
         if active.request.request_id:
-            effects += self.publish(active.request.request_id, payload, now)
+            effects += self.claims.publish(active.request.request_id, payload)
         return effects + self.carry_out(admission.advance(now), now)
 
     def measure(self, name: str, active: ActiveRequest, value: float) -> Effect:
@@ -322,233 +311,73 @@
     def open_feed(self, owned: OwnedFlow, active: ActiveRequest) -> None:
         """Keep a feed's request, so that the feed can be renewed after a restart."""
         active.phase = RequestPhase.FEEDING
+        active.renews = False
         self.feeds[active.flow, active.request.token] = active
         owned.feeds[active.request.token] = active.payload
 
+    def settle_feed(self, owned: OwnedFlow, active: ActiveRequest, feed: bool) -> None:
+        """Open a feed if the upstream has agreed to it, else end the one that was renewed."""
+        if feed:
+            self.open_feed(owned, active)
+        else:
+            self.end_feed(owned, active.request.token)
+
     def end_feed(self, owned: OwnedFlow, token: bytes) -> None:
         """Forget a feed."""
         self.feeds.pop((owned.flow, token), None)
         owned.feeds.pop(token, None)
 
     def restore_feed(self, owned: OwnedFlow, payload: bytes, now: float) -> list[Effect]:
-        """Take a feed back after a restart, and renew it at the upstream."""
-        codec = self.codec_of(owned.service)
-        request = codec.read_request(payload)
+        """Take a feed back after a restart of this agent, to be renewed at the upstream."""
+        request = self.codec_of(owned.service).read_request(payload)
         if request is None:
             return [Count("malformed_requests")]
-        active = ActiveRequest(owned.flow, owned.service, request, payload, now, now, 1.0)
+        active = ActiveRequest(owned.flow, owned.service, request, payload, now, inf, 1.0)
         self.open_feed(owned, active)
-        message_id = xxhash.xxh32_intdigest(owned.flow + request.token, int(now * 1000)) & 0xFFFF
-        return [Count("feeds_renewed"), Deliver(owned.flow, codec.renewal(payload, message_id))]
-
-    # Claims, as the runner
-
-    def claim(self, active: ActiveRequest, now: float, supersedes: int = 0) -> list[Effect]:
-        """Ask the witnesses to let this host run a request."""
-        request_id = active.request.request_id
-        active.phase = RequestPhase.CLAIMING
-        self.claiming[request_id] = active
-        sets = self.history.witness_sets(active.service, request_id, now)
-        opened = self.claimant.begin(request_id, sets, now, supersedes)
-        active.attempt = opened.attempt
-        return [Count("claims"), *self.ask_witnesses(self.claimant.asks(opened), now)]
-
-    def ask_witnesses(self, asks: Iterable[tuple[str, ClaimRequest]], now: float) -> list[Effect]:
-        """Send claims to witnesses; this host's own answer comes last, and at once."""
-        effects: list[Effect] = []
-        own: ClaimRequest | None = None
-        for witness, ask in asks:
-            if witness == self.host_name:
-                own = ask
-            else:
-                effects += self.send_to(witness, ask)
-        if own is not None:
-            effects += self.on_claim_reply(self.witness.ask(own, now), now)
-        return effects
-
-    def send_to(self, host_name: str, message: ClaimRequest | ResultRequest) -> list[Effect]:
-        """Send a message to a host, if any topology that counts knows it."""
-        for topology in (
-            self.history.current,
-            *(row.topology for row in self.history.superseded),
-        ):
-            host = topology.hosts.get(host_name)
-            if host is not None:
-                return [SendPeer(host.address, message)]
+        self.renew_feed(active, now)
         return []
 
-    def on_claim_reply(self, reply: ClaimReply, now: float) -> list[Effect]:
-        """Take a witness's answer."""
-        finished = self.claimant.on_reply(reply, now)
-        return self.conclude(finished, now) if finished else []
-
-    def conclude(self, finished: Finished, now: float) -> list[Effect]:
-        """Go on with a request whose round of claims has ended."""
-        active = self.claiming.pop(finished.request_id)
-        waiting = self.waiting.pop(finished.request_id, [])
-        if finished.outcome is Outcome.GRANTED:
-            self.runs.start(finished.request_id, finished.attempt, now)
-            if waiting:
-                self.waiting[finished.request_id] = waiting
-            return self.admit(active, now)
-        effects = self.release(finished.request_id, finished.attempt, active.service, now)
-        active.attempt = 0
-        if finished.outcome is Outcome.HELD:
-            self.holders[finished.request_id] = (finished.holder, finished.holder_attempt)
-            self.heard_holder[finished.request_id] = now
-            self.waiting[finished.request_id] = waiting
-            return [*effects, Count("claims_held"), *self.wait(active), *self.poll_holders(now)]
-        effects.append(Count("claims_unavailable"))
-        for each in (active, *waiting):
-            effects += self.refuse(each, RefusalReason.OUTCOME_UNKNOWN, now)
-        return effects
-
-    def release(self, request_id: bytes, attempt: int, service: str, now: float) -> list[Effect]:
-        """Tell the witnesses, and those that wait, that an attempt will never start."""
-        note = ClaimRelease(request_id, self.host_name, attempt)
-        self.witness.release(note)
-        effects: list[Effect] = []
-        sets = self.history.witness_sets(service, request_id, now)
-        for witness in sorted(set().union(*sets.members)):
-            if witness != self.host_name:
-                effects += self.send_to(witness, note)
-        reply = ResultReply(request_id, attempt, ResultState.RELEASED, b"")
-        waiters = self.runs.release(request_id, attempt, now)
-        effects += [SendPeer(waiter, reply) for waiter in sorted(waiters)]
-        return effects
-
-    # Answers of another runner
-
-    def join_run(self, active: ActiveRequest, run: Run, now: float) -> list[Effect]:
-        """Give a request the answer of this host's own run of it."""
-        if run.state is ResultState.ANSWERED:
-            return self.answer_with(active, run.answer)
-        if run.state is ResultState.UNKNOWN:
-            return self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
-        return self.wait(active)
-
-    def wait(self, active: ActiveRequest) -> list[Effect]:
-        """Let a request wait for another's answer."""
-        active.phase = RequestPhase.WAITING
-        self.waiting.setdefault(active.request.request_id, []).append(active)
-        return []
-
-    def poll_holders(self, now: float) -> list[Effect]:
-        """Ask the holders of claims for their answers; give up on the silent."""
-        effects: list[Effect] = []
-        for request_id, (holder, attempt) in list(self.holders.items()):
-            if now - self.heard_holder[request_id] > RESULT_SILENCE_S:
-                effects += self.give_up_waiting(request_id, now)
-            elif now >= self.poll_at.get(request_id, 0.0):
-                self.poll_at[request_id] = now + RESULT_POLL_S
-                effects += self.send_to(holder, ResultRequest(request_id, attempt))
-        return effects
-
-    def forget_holder(self, request_id: bytes) -> list[ActiveRequest]:
-        """Stop asking a holder; return the requests that waited for it."""
-        for table in (self.holders, self.heard_holder, self.poll_at):
-            table.pop(request_id, None)
-        return self.waiting.pop(request_id, [])
-
-    def give_up_waiting(self, request_id: bytes, now: float) -> list[Effect]:
-        """Tell callers that the outcome of another runner's request is unknown."""
-        effects: list[Effect] = []
-        for active in self.forget_holder(request_id):
-            effects += self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
-        return effects
-
-    def on_result_reply(self, reply: ResultReply, now: float) -> list[Effect]:
-        """Take a holder's word on a request."""
-        request_id = reply.request_id
-        if self.holders.get(request_id, ("", 0))[1] != reply.holder_attempt:
-            return []
-        self.heard_holder[request_id] = now
-        if reply.state is ResultState.PENDING:
+    def renew_feed(self, feed: ActiveRequest, now: float) -> None:
+        """Queue the renewal of a feed; it takes a slot like any request."""
+        number = xxhash.xxh32_intdigest(feed.flow + feed.request.token, int(now * 1000))
+        payload = self.codec_of(feed.service).renewal(feed.payload, number & 0xFFFF)
+        renewal = ActiveRequest(
+            feed.flow, feed.service, feed.request, payload, now, now + RENEWAL_TIMEOUT_S, 1.0
+        )
+        renewal.renews = True
+        self.admission(feed.service, now).renew(renewal)
+
+    def start_renewal(self, renewal: ActiveRequest, now: float) -> list[Effect]:
+        """Hand a feed's renewal to the upstream, unless the feed has ended meanwhile."""
+        key = (renewal.flow, renewal.request.token)
+        if key in self.pending or key not in self.feeds:
+            self.admission(renewal.service, now).abandon(renewal)
             return []
-        if reply.state is ResultState.UNKNOWN:
-            return self.give_up_waiting(request_id, now)
-        waiting = self.forget_holder(request_id)
-        if reply.state is ResultState.RELEASED:
-            return self.claim_again(waiting, reply.holder_attempt, now)
-        effects: list[Effect] = []
-        for active in waiting:
-            effects += self.answer_with(active, reply.answer)
-        return effects
+        renewal.deadline = now + RENEWAL_TIMEOUT_S
+        self.pending[key] = renewal
+        return [Count("feeds_renewed"), Deliver(renewal.flow, renewal.payload)]
 
-    def claim_again(self, waiting: list[ActiveRequest], released: int, now: float) -> list[Effect]:
-        """Claim for the first of the waiting, in place of an attempt that was released."""
-        if not waiting:
-            return []
-        effects = self.claim(waiting[0], now, supersedes=released)
-        for active in waiting[1:]:
-            effects += self.wait(active)
-        return effects
+    # Claims
 
-    def answer_with(self, active: ActiveRequest, answer: bytes) -> list[Effect]:
-        """Give a waiting request the answer of the run that stands for it."""
+    def on_granted(self, active: ActiveRequest, now: float) -> list[Effect]:
+        """Admit a write that this host may run."""
+        return self.admit(active, now)
+
+    def on_repeated(self, active: ActiveRequest, answer: bytes) -> list[Effect]:
+        """Give a write the answer of the run that stands for it."""
         self.pending.pop((active.flow, active.request.token), None)
         payload = self.codec_of(active.service).readdress(answer, active.payload)
         self.remember(active, payload)
         return [Count("answers_repeated"), AnswerCaller(active.flow, payload)]
 
-    def publish(self, request_id: bytes, answer: bytes, now: float) -> list[Effect]:
-        """Give the answer of a run to all that wait for it, here and elsewhere."""
-        run = self.runs.find(request_id)
-        waiters = self.runs.answer(request_id, answer)
-        effects: list[Effect] = []
-        for active in self.waiting.pop(request_id, []):
-            effects += self.answer_with(active, answer)
-        if run is not None:
-            reply = ResultReply(request_id, run.attempt, ResultState.ANSWERED, answer)
-            effects += [SendPeer(waiter, reply) for waiter in sorted(waiters)]
-        return effects
-
-    # Claims, as a witness and as a holder
-
-    def on_claim_request(self, sender: Address, request: ClaimRequest, now: float) -> list[Effect]:
-        """Answer a runner as one of its witnesses."""
-        if self.misses_witnesses(request, now):
-            reply = self.witness.reply(request, ClaimVerdict.STALE_EPOCH, None)
-            return [Count("claims_stale"), SendPeer(sender, reply)]
-        return [SendPeer(sender, self.witness.ask(request, now))]
-
-    def misses_witnesses(self, request: ClaimRequest, now: float) -> bool:
-        """Tell whether the runner may not know a witness set that counts."""
-        if not request.history_from:
-            return False
-        services = self.history.current.services_of_host.get(self.host_name, ())
-        return any(
-            self.history.is_missing(service, request.request_id, request.history_from, now)
-            for service in services
-        )
-
-    def on_claim_release(self, release: ClaimRelease) -> list[Effect]:
-        """Forget a claim that its runner has given back."""
-        self.witness.release(release)
-        return []
-
-    def on_result_request(self, sender: Address, request: ResultRequest) -> list[Effect]:
-        """Tell another agent what became of a request claimed by this host."""
-        current = self.claimant.rounds.get(request.request_id)
-        claiming = current is not None and current.attempt == request.holder_attempt
-        return [SendPeer(sender, self.runs.reply(sender, request, claiming))]
-
     # Time and faults
 
     def advance(self, now: float) -> list[Effect]:
         """Start, refuse, repeat and expire what is due."""
-        effects: list[Effect] = []
-        resend, finished = self.claimant.due(now)
-        effects += self.ask_witnesses(resend, now)
-        for each in finished:
-            effects += self.conclude(each, now)
-        effects += self.poll_holders(now)
+        effects = self.claims.advance(now)
         for admission in list(self.admissions.values()):
             effects += self.carry_out(admission.advance(now), now)
-        effects += self.expire_pending(now)
-        self.runs.expire(now)
-        self.witness.expire(now, 200)
-        return effects
+        return effects + self.expire_pending(now)
 
     def expire_pending(self, now: float) -> list[Effect]:
         """Answer requests whose time is over, and free the slots of those long lost."""
@@ -556,54 +385,60 @@
         for key, active in list(self.pending.items()):
             if now < active.deadline:
                 continue
-            if active.phase is RequestPhase.RUNNING:
+            if active.renews:
+                self.repeat_renewal(active, now)
+            elif active.phase is RequestPhase.RUNNING:
                 active.phase = RequestPhase.ABANDONED
                 effects += self.answer_unknown(active, now)
             elif active.phase is RequestPhase.ABANDONED and now > active.deadline + SLOT_HOLD_S:
                 self.admission(active.service, now).abandon(active)
-                effects += self.lose_run(active)
+                effects += self.claims.lose(active)
                 del self.pending[key]
             elif active.phase is RequestPhase.WAITING:
-                self.stop_waiting(active)
+                self.claims.stop_waiting(active)
                 effects += self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
         return effects
 
-    def stop_waiting(self, active: ActiveRequest) -> None:
-        """Take one request from those that wait for a holder's answer."""
-        waiting = self.waiting.get(active.request.request_id, [])
-        if active in waiting:
-            waiting.remove(active)
-
     def answer_unknown(self, active: ActiveRequest, now: float) -> list[Effect]:
         """Tell a caller that its request was started and may or may not have run."""
-        retry_s = spread(self.admission(active.service, now).retry_s(), active)
+        retry_s = spread(self.admission(active.service, now).retry_s(now), active)
         codec = self.codec_of(active.service)
         answer = codec.refusal(active.payload, RefusalReason.OUTCOME_UNKNOWN, retry_s)
         self.remember(active, answer)
         counted: list[Effect] = [Count("refused_outcome_unknown")]
         return [*counted, AnswerCaller(active.flow, answer)] if answer else counted
 
+    def repeat_renewal(self, active: ActiveRequest, now: float) -> None:
+        """Queue a renewal again that got no answer."""
+        self.admission(active.service, now).abandon(active)
+        del self.pending[active.flow, active.request.token]
+        self.renew_feed(active, now)
+
     def on_upstream_gone(self, owned: OwnedFlow, now: float) -> list[Effect]:
-        """Take the upstream to be cold; what it was running has an unknown outcome."""
-        admission = self.admission(owned.service, now)
-        if admission.cold_reason is not ColdReason.GONE or not admission.is_cold():
-            admission.chill(now, ColdReason.GONE)
+        """Take it that the upstream has lost its requests and feeds.
+
+        The outcome of what it was running is unknown; its feeds are renewed once it is back.
+        """
+        service = owned.service
+        self.admission(service, now).note_gone(now)
         effects: list[Effect] = [Count("upstream_gone")]
         for active in list(self.pending.values()):
-            if active.flow == owned.flow and active.phase is RequestPhase.RUNNING:
-                admission.abandon(active)
-                effects += self.lose_run(active)
-                effects += self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
+            if active.service != service or active.phase is not RequestPhase.RUNNING:
+                continue
+            if active.renews:
+                self.repeat_renewal(active, now)
+                continue
+            effects += self.claims.lose(active)
+            effects += self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
+        self.renew_feeds(service, now)
         return effects
 
-    def lose_run(self, active: ActiveRequest) -> list[Effect]:
-        """Note that the outcome of a started request will never be known."""
-        request_id = active.request.request_id
-        run = self.runs.find(request_id)
-        if run is None or run.attempt != active.attempt:
-            return []
-        reply = ResultReply(request_id, run.attempt, ResultState.UNKNOWN, b"")
-        return [SendPeer(waiter, reply) for waiter in sorted(self.runs.lose(request_id))]
+    def renew_feeds(self, service: str, now: float) -> None:
+        """Queue the renewal of every feed of an upstream that may have lost them."""
+        renewals = self.admission(service, now).renewals
+        for key, feed in self.feeds.items():
+            if feed.service == service and key not in renewals and key not in self.pending:
+                self.renew_feed(feed, now)
 
     def forget(self, flows: set[FlowKey], now: float) -> list[Effect]:
         """End every request and feed of some flows without a word to their callers."""
@@ -625,17 +460,20 @@
     ) -> list[Effect]:
         """End one request: as not run only if that is certain."""
         admission = self.admission(active.service, now)
+        if active.renews:
+            admission.abandon(active)
+            del self.pending[active.flow, active.request.token]
+            return []
         if active.phase is RequestPhase.QUEUED:
             admission.withdraw(active)
             return self.refuse(active, reason, now)
         if active.phase is RequestPhase.CLAIMING:
-            current = self.claimant.rounds.pop(active.request.request_id)
-            self.claiming.pop(active.request.request_id)
-            released = self.release(current.request_id, current.attempt, active.service, now)
+            released = self.claims.cancel(active, now)
+            active.attempt = 0
             return released + self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
-        self.stop_waiting(active)
+        self.claims.stop_waiting(active)
         admission.abandon(active)
-        lost = self.lose_run(active)
+        lost = self.claims.lose(active)
         if active.phase is RequestPhase.ABANDONED:
             self.pending.pop((active.flow, active.request.token), None)
             return lost
--- a/src/heatheryoke/core/requests.py
+++ b/src/heatheryoke/core/requests.py
@@ -87,7 +87,10 @@
 
 
 class ActiveRequest:
-    """A request that has not been answered, or a feed that goes on."""
+    """A request that has not been answered, or a feed that goes on.
+
+    One that `renews` opens a feed again at its upstream, for a caller that need not know.
+    """
 
     __slots__ = (
         "arrived",
@@ -97,6 +100,7 @@
         "overdue",
         "payload",
         "phase",
+        "renews",
         "request",
         "service",
         "started",
@@ -124,6 +128,7 @@
         self.started = 0.0
         self.attempt = 0
         self.overdue = False
+        self.renews = False
 
 
 class RequestCodec(ABC):
--- a/src/heatheryoke/core/runs.py
+++ b/src/heatheryoke/core/runs.py
@@ -19,6 +19,13 @@
     waiters: frozenset[Address] = frozenset()
 
 
+class Released(NamedTuple):
+    """An attempt given up before its start; `refused` tells that its caller was told so."""
+
+    at: float
+    refused: bool
+
+
 class Runs:
     """Runs by request id, and the attempts that were given up before they started.
 
@@ -28,7 +35,7 @@
     def __init__(self, lifetime_s: float):
         self.lifetime_s = lifetime_s
         self.runs: OrderedDict[bytes, Run] = OrderedDict()
-        self.released: OrderedDict[tuple[bytes, int], float] = OrderedDict()
+        self.released: OrderedDict[tuple[bytes, int], Released] = OrderedDict()
 
     def find(self, request_id: bytes) -> Run | None:
         """Return the run of a request id."""
@@ -53,25 +60,32 @@
         self.runs[request_id] = run._replace(state=ResultState.UNKNOWN, waiters=frozenset())
         return run.waiters
 
-    def release(self, request_id: bytes, attempt: int, now: float) -> frozenset[Address]:
+    def release(
+        self, request_id: bytes, attempt: int, refused: bool, now: float
+    ) -> frozenset[Address]:
         """Note that an attempt will never start; return the agents that wait for it."""
-        self.released[request_id, attempt] = now + self.lifetime_s
+        self.released[request_id, attempt] = Released(now, refused)
         run = self.runs.get(request_id)
         if run is None or run.attempt != attempt:
             return frozenset()
         del self.runs[request_id]
         return run.waiters
 
-    def reply(self, asker: Address, request: ResultRequest, claiming: bool) -> ResultReply:
+    def reply(
+        self, asker: Address, request: ResultRequest, claiming: bool, now: float
+    ) -> ResultReply:
         """Tell an agent what became of an attempt; it is told again when there is an answer."""
-        request_id, attempt = request
+        request_id, attempt, age_s = request
         run = self.runs.get(request_id)
         if run is not None and run.attempt == attempt:
             if run.state is ResultState.PENDING:
                 self.runs[request_id] = run._replace(waiters=run.waiters | {asker})
             return ResultReply(request_id, attempt, run.state, run.answer)
-        if (request_id, attempt) in self.released:
-            return ResultReply(request_id, attempt, ResultState.RELEASED, b"")
+        released = self.released.get((request_id, attempt))
+        if released is not None:
+            asked_before = released.refused and now - age_s <= released.at
+            state = ResultState.REFUSED if asked_before else ResultState.RELEASED
+            return ResultReply(request_id, attempt, state, b"")
         state = ResultState.PENDING if claiming else ResultState.UNKNOWN
         return ResultReply(request_id, attempt, state, b"")
 
@@ -79,5 +93,6 @@
         """Drop what is older than a claim's lifetime."""
         while self.runs and next(iter(self.runs.values())).expires <= now:
             self.runs.popitem(last=False)
-        while self.released and next(iter(self.released.values())) <= now:
+        oldest = now - self.lifetime_s
+        while self.released and next(iter(self.released.values())).at <= oldest:
             self.released.popitem(last=False)
--- a/src/heatheryoke/measure/caller_model.py
+++ b/src/heatheryoke/measure/caller_model.py
@@ -259,6 +259,6 @@
 
     def check_feed(self, silence_s: float) -> None:
         """Count a feed that has been silent for too long as broken."""
-        if self.feed_token and self.feed_token not in self.open:
-            if self.scheduler.now - self.last_news > silence_s:
-                self.break_feed()
+        is_open = self.feed_token and self.feed_token not in self.open
+        if is_open and self.scheduler.now - self.last_news > silence_s:
+            self.break_feed()
--- a/src/heatheryoke/measure/figures.py
+++ b/src/heatheryoke/measure/figures.py
@@ -168,4 +168,3 @@
 def _control_rate(world: World) -> float:
     nodes = len(world.processes)
     return round(sum(world.control_bytes.values()) / nodes / world.scheduler.now, 1)
-
--- a/src/heatheryoke/measure/plain_codec.py
+++ b/src/heatheryoke/measure/plain_codec.py
@@ -1,6 +1,6 @@
 """A small request protocol for measures and tests, read by agents like any other.
 
-    kind, phase, message id, class, token, request id, text
+kind, phase, message id, class, token, request id, text
 """
 
 import struct
--- a/src/heatheryoke/measure/process_model.py
+++ b/src/heatheryoke/measure/process_model.py
@@ -44,7 +44,9 @@
 class Surroundings(Protocol):
     """What a process reaches by its effects."""
 
-    def carry(self, source: str, to: Address, make_event: Callable[[float, Address], Event]) -> None:
+    def carry(
+        self, source: str, to: Address, make_event: Callable[[float, Address], Event]
+    ) -> None:
         """Carry a message to the process at an address."""
 
     def note_control(self, source: str, message: Any) -> None:
--- a/src/heatheryoke/measure/upstream_model.py
+++ b/src/heatheryoke/measure/upstream_model.py
@@ -14,7 +14,11 @@
 
 
 class UpstreamTraits(NamedTuple):
-    """How upstreams behave; a cold one bears `bearable` requests at once and is slower."""
+    """How upstreams behave.
+
+    A cold one is slower, and falls over when it has had more than `bearable` requests at once for
+    `patience_s`.
+    """
 
     service_s: float = 0.1
     notify_s: float = 1.0
@@ -22,6 +26,7 @@
     warm_requests: int = 30
     cold_factor: float = 3.0
     restart_s: float = 2.0
+    patience_s: float = 1.0
 
 
 class Ledger:
@@ -65,6 +70,7 @@
         self.served = 0
         self.incarnation = 0
         self.is_up = True
+        self.overloaded_since: float | None = None
         self.feeds: dict[tuple[int, bytes], PlainMessage] = {}
         self.ports: set[int] = set()
         self.notified = 0
@@ -75,6 +81,17 @@
         """Whether it has served too few requests since its start to be warm."""
         return self.served < self.traits.warm_requests
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether it is cold and has more to do than it bears."""
+        return self.is_cold and self.running > self.traits.bearable
+
+    def collapse(self, incarnation: int) -> None:
+        """Fall over if the overload has lasted."""
+        if incarnation == self.incarnation and self.overloaded_since is not None:
+            self.ledger.cold_overloads += 1
+            self.restart()
+
     def receive(self, port: int, data: bytes) -> None:
         """Take a datagram from a local port of the agent."""
         message = PlainMessage.decode(data)
@@ -95,10 +112,10 @@
     def begin(self, port: int, message: PlainMessage) -> None:
         """Start to work on a request; a cold upstream that gets too much falls over."""
         self.running += 1
-        if self.is_cold and self.running > self.traits.bearable:
-            self.ledger.cold_overloads += 1
-            self.restart()
-            return
+        if self.is_overloaded and self.overloaded_since is None:
+            self.overloaded_since = self.scheduler.now
+            incarnation = self.incarnation
+            self.scheduler.after(self.traits.patience_s, lambda: self.collapse(incarnation))
         if message.request_id:
             self.ledger.runs[message.request_id] += 1
         factor = self.traits.cold_factor if self.is_cold else 1.0
@@ -112,6 +129,8 @@
             return
         self.running -= 1
         self.served += 1
+        if not self.is_overloaded:
+            self.overloaded_since = None
         self.ledger.work[self.endpoint.host] += 1
         if message.kind is RequestKind.FEED:
             self.feeds[port, message.token] = message
@@ -144,6 +163,7 @@
         """Lose everything and start again, cold unless told otherwise."""
         self.incarnation += 1
         self.is_up = False
+        self.overloaded_since = None
         self.running = 0
         self.served = self.traits.warm_requests if warm else 0
         self.waiting.clear()
@@ -155,5 +175,5 @@
         self.is_up = True
 
     def chill(self) -> None:
-        """Become cold without a restart."""
+        """Become cold without a restart, so that nothing but slowness shows it."""
         self.served = 0
--- a/src/heatheryoke/measure/world.py
+++ b/src/heatheryoke/measure/world.py
@@ -87,9 +87,7 @@
         self.random = random.Random(seed)
         self.scheduler = Scheduler()
         numbers = count(1)
-        self.document = make_document(
-            deployment, lambda: Address(f"10.1.0.{next(numbers)}", 5_683)
-        )
+        self.document = make_document(deployment, lambda: Address(f"10.1.0.{next(numbers)}", 5_683))
         domains = {host.name: host.failure_domain for host in self.document.hosts}
         hop_s = DOMAIN_HOP_S[deployment.name]
         self.network = Network(self.scheduler, seed, domains, hop_s)
@@ -110,7 +108,7 @@
         self.control_messages: Counter[str] = Counter()
         self.withdrawals: list[tuple[float, float, str]] = []
         self.withdrawn_traffic: dict[str, float] = {}
-        self.incarnations = count(1_000_000)
+        self.incarnations = count(1_000_000, 1_000_000)
         self.callers: dict[str, CallerModel] = {}
         for host in self.document.hosts:
             self.start_process(host, first_start=True)
@@ -216,10 +214,14 @@
     def answer_caller(self, source: str, flow: FlowKey, payload: bytes) -> None:
         """Carry an answer to a caller by way of the fabric."""
         caller = self.callers.get(flow_tuple(flow).source.ip)
-        if caller is not None:
-            hop = CALLER_HOP_S[self.deployment.name]
-            deliver = lambda: self.scheduler.after(hop, lambda: caller.hear(flow, payload))  # noqa: E731
-            self.network.send(source, FABRIC, deliver)
+        if caller is None:
+            return
+        hop_s = CALLER_HOP_S[self.deployment.name]
+
+        def deliver() -> None:
+            self.scheduler.after(hop_s, lambda: caller.hear(flow, payload))
+
+        self.network.send(source, FABRIC, deliver)
 
     def from_caller(self, flow: FlowKey, service: Address, payload: bytes) -> None:
         """Spray a caller's datagram over the balancers."""
--- a/src/heatheryoke/wire/messages.capnp
+++ b/src/heatheryoke/wire/messages.capnp
@@ -47,15 +47,32 @@
 struct RecoveryRequest {
   host @0 :Text;
   incarnation @1 :UInt64;
+  question @2 :UInt64;
 }
 
 struct RecoveryReply {
-  incarnation @0 :UInt64;
+  question @0 :UInt64;
   part @1 :UInt32;
   parts @2 :UInt32;
   complete @3 :Bool;
-  entries @4 :List(Registration);
-  claims @5 :List(ClaimRecord);
+  handedOver @4 :Bool;
+  entries @5 :List(Registration);
+  claims @6 :List(ClaimRecord);
+}
+
+struct ClaimHandover {
+  host @0 :Text;
+  part @1 :UInt32;
+  claims @2 :List(ClaimRecord);
+}
+
+struct ClaimHandoverAck {
+  host @0 :Text;
+  part @1 :UInt32;
+}
+
+struct ClaimHandoverDone {
+  host @0 :Text;
 }
 
 struct Heartbeat {
@@ -111,6 +128,7 @@
 struct ResultRequest {
   requestId @0 :Data;
   holderAttempt @1 :UInt64;
+  ageS @2 :Float64;
 }
 
 struct ResultReply {
@@ -138,5 +156,8 @@
     claimRelease @13 :ClaimRelease;
     resultRequest @14 :ResultRequest;
     resultReply @15 :ResultReply;
+    claimHandover @16 :ClaimHandover;
+    claimHandoverAck @17 :ClaimHandoverAck;
+    claimHandoverDone @18 :ClaimHandoverDone;
   }
 }
--- a/tests/test_request_engine.py
+++ b/tests/test_request_engine.py
@@ -32,7 +32,7 @@
         self.engine = RequestEngine(
             "upstream-1", 1, self.history, self.flows, {Protocol.COAP: PlainCodec}, 0.0
         )
-        self.engine.witness.recovered(0.0)
+        self.engine.claims.witness.recovered(0.0)
         self.owned = OwnedFlow(b"flow-a", self.service, 0, 0, 0.0)
         self.flows.add(self.owned)
         self.number = 0
@@ -131,7 +131,7 @@
         hold = bench.message(request_id=b"id")._replace(number=0.01)
         refusals = answered(bench.send(hold)) + answered(bench.engine.advance(5.0))
         assert [row.phase for row in refusals if row.token == hold.token] == [REFUSAL]
-        assert bench.engine.witness.claims == {}
+        assert bench.engine.claims.witness.claims == {}
 
 
 class TestAnswers:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -115,7 +115,7 @@
             Heartbeat("upstream-1", 2**63, 5),
             ClaimReply(b"id", "upstream-2", 7, ClaimVerdict.HELD, "upstream-3", 9),
             Accusations(3, (Accusation("a", "b", 4, True),)),
-            RecoveryReply(1, 0, 1, True, (ROW,), (ClaimRecord(b"x", "y", 3, 2.5),)),
+            RecoveryReply(1, 0, 1, True, False, (ROW,), (ClaimRecord(b"x", "y", 3, 2.5),)),
         ],
     )
     def test_round_trip(self, message):
