Place feeds by live flows, other work by what is outstanding; keep a withdrawn domain silent

Cause: (1) idle flows counted as load: an upstream that returned with none drew every new flow (42 in its queue while cold). (2) A feed's flow was counted twice for 5 to 10 s after it opened. (3) Claims and hints still entered a withdrawn domain. (4) A restarted runner did not know the witnesses of former epochs, so its claims were refused for 300 s. Change: load is live flows by what the upstream bears now, with outstanding work only for flows that open no feed, and open offers; one guard on all that is sent; witnesses name the former sets to a runner that lacks history.

--- a/src/heatheryoke/core/admission.py
+++ b/src/heatheryoke/core/admission.py
@@ -80,10 +80,6 @@
         """Tell whether the upstream is taken to be cold."""
         return self.state is UpstreamState.COLD
 
-    def load(self) -> float:
-        """Return the work outstanding as a share of the limit."""
-        return self.outstanding / self.limit
-
     def wait_s(self, ahead: int, now: float) -> float:
         """Estimate how long a request waits with so many others before it in the queue."""
         return max(0.0, self.gap_until - now) + (ahead + 1) * self.service_s / self.limit
--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -47,7 +47,7 @@
 )
 from heatheryoke.core.node import Node
 from heatheryoke.core.ownership import OwnedFlow, OwnedFlows, Registrar
-from heatheryoke.core.placement import LeastOfVisited, Placement
+from heatheryoke.core.placement import LeastOfVisited, Offers, Placement
 from heatheryoke.core.recovery import Recovery, recovery_replies
 from heatheryoke.core.request_engine import RequestEngine
 from heatheryoke.core.requests import CodecFactory, RefusalReason, RequestKind
@@ -63,6 +63,8 @@
 HINTS_PER_S = 20.0
 HINT_BURST = 40.0
 STOP_LIMIT_S = 25.0
+OUTSTANDING_WEIGHT = 2.0
+OFFER_S = 0.02
 SPARE_IDLE_S = 5.0
 SPARE_SEARCH = 20
 NO_ROOM_RETRY_S = 2.0
@@ -104,6 +106,8 @@
         )
         if first_start:
             self.engine.claims.witness.recovered(started)
+            self.history.is_first_start = True
+        self.offers = Offers(OFFER_S)
         self.withdrawn = False
         self.handover: Handover | None = None
         self.handovers = HandoverLog()
@@ -313,7 +317,10 @@
         """Add this host's offer to a new flow's packet; pass it on or choose the owner."""
         view = self.topology.view(service.name)
         candidates = [host for host in view.candidates(message.flow) if self.is_usable(host)]
-        visit = Visit(short_id(self.host_name), self.load(service.name, now))
+        request = self.engine.codec_of(service.name).read_request(message.payload)
+        opens_feed = request is not None and request.kind is RequestKind.FEED
+        visit = Visit(short_id(self.host_name), self.load(service.name, opens_feed, now))
+        self.offers.add(now)
         visited = (*message.visited, visit)
         onward = message._replace(visited=visited, generation=generation)
         following = self.placement.next_candidate(candidates, visited)
@@ -328,10 +335,11 @@
         self.directory.expect(message.flow, chosen.name, generation, now)
         return self.pass_on(onward._replace(assigned=True), chosen)
 
-    def load(self, service: str, now: float) -> float:
+    def load(self, service: str, opens_feed: bool, now: float) -> float:
         """Return this host's load for placement, infinite where it takes no new flows.
 
-        Flows and outstanding work each count by their share of what the upstream can bear.
+        Flows that live count by what the upstream can bear now. So does outstanding work, but not
+        for a flow that opens a feed: it will stay long after that work is done.
         """
         endpoint = self.topology.endpoints.get((service, self.host_name))
         host = self.topology.hosts[self.host_name]
@@ -342,7 +350,12 @@
         flows = self.flows.count(service)
         if flows >= endpoint.connections and self.spare_flow(service, now) is None:
             return inf
-        return (flows + self.engine.load(service, now)) / endpoint.weight
+        admission = self.engine.admission(service, now)
+        live = self.flows.live(service, now)
+        if not opens_feed:
+            live += OUTSTANDING_WEIGHT * admission.outstanding
+        bears = endpoint.weight * min(1.0, admission.limit / admission.slots)
+        return (live + self.offers.count(now)) / bears
 
     def refuse_flow(self, message: Forward, service: Service) -> list[Effect]:
         """Tell the caller of a flow that has no place when to come back."""
--- a/src/heatheryoke/core/claims.py
+++ b/src/heatheryoke/core/claims.py
@@ -113,13 +113,13 @@
 
 
 class WitnessSets(NamedTuple):
-    """The witnesses of a request id in every epoch in force during a claim's lifetime.
+    """The witnesses of a request id in every epoch known to count.
 
-    `history_from` is the first epoch that the claimant knows of, 0 if it knows all that count.
+    `is_complete` tells that these are all epochs in force during a claim's lifetime.
     """
 
     members: list[frozenset[str]]
-    history_from: int
+    is_complete: bool
 
 
 class Outcome(Enum):
@@ -137,9 +137,10 @@
         "attempt",
         "granted",
         "held_by",
-        "history_from",
+        "lacks_history",
         "request_id",
         "resend_at",
+        "service",
         "sets",
         "started",
         "supersedes",
@@ -147,16 +148,18 @@
 
     def __init__(
         self,
+        service: str,
         request_id: bytes,
         attempt: int,
         sets: WitnessSets,
         now: float,
         supersedes: int,
     ):
+        self.service = service
         self.request_id = request_id
         self.attempt = attempt
-        self.sets = sets.members
-        self.history_from = sets.history_from
+        self.sets = list(sets.members)
+        self.lacks_history = not sets.is_complete
         self.supersedes = supersedes
         self.started = now
         self.resend_at = now + CLAIM_RESEND_S
@@ -168,9 +171,20 @@
         return set().union(*self.sets)
 
     def has_majority(self) -> bool:
-        """Tell whether most of each set have granted."""
+        """Tell whether most of each set have granted, and all sets are known."""
+        if self.lacks_history:
+            return False
         return all(2 * len(self.granted & members) > len(members) for members in self.sets)
 
+    def learn(self, reply: ClaimReply) -> bool:
+        """Take the witness sets of former epochs from a reply; tell whether it had them."""
+        if not self.lacks_history or not reply.knows_history:
+            return False
+        self.lacks_history = False
+        former = [frozenset(row.hosts) for row in reply.former_sets]
+        self.sets += [members for members in former if members not in self.sets]
+        return True
+
     def lost_to(self, runner: str) -> tuple[str, int] | None:
         """Return the holder to give way to, None while this attempt may still win."""
         if not self.held_by:
@@ -200,21 +214,29 @@
         self.last_attempt = incarnation
         self.rounds: dict[bytes, Round] = {}
 
-    def begin(self, request_id: bytes, sets: WitnessSets, now: float, supersedes: int = 0) -> Round:
+    def begin(
+        self,
+        service: str,
+        request_id: bytes,
+        sets: WitnessSets,
+        now: float,
+        supersedes: int = 0,
+    ) -> Round:
         """Open a round under a new attempt number."""
         self.last_attempt += 1
-        opened = Round(request_id, self.last_attempt, sets, now, supersedes)
+        opened = Round(service, request_id, self.last_attempt, sets, now, supersedes)
         self.rounds[request_id] = opened
         return opened
 
     def asks(self, current: Round) -> list[tuple[str, ClaimRequest]]:
         """Return what to ask of the witnesses that have not granted."""
         ask = ClaimRequest(
+            current.service,
             current.request_id,
             self.host_name,
             current.attempt,
             current.supersedes,
-            current.history_from,
+            current.lacks_history,
         )
         silent = current.witnesses() - current.granted
         return [(witness, ask) for witness in sorted(silent)]
@@ -226,6 +248,8 @@
             return None
         if now - current.started > CLAIM_ROUND_S:
             return self.end(current, Outcome.UNAVAILABLE)
+        if current.learn(reply):
+            current.resend_at = now
         if reply.verdict is ClaimVerdict.GRANTED:
             current.granted.add(reply.witness)
             current.held_by.pop(reply.witness, None)
--- a/src/heatheryoke/core/history.py
+++ b/src/heatheryoke/core/history.py
@@ -1,5 +1,6 @@
 """The topologies in force during the lifetime of a claim, and the rankings they gave."""
 
+from math import inf
 from typing import NamedTuple
 
 from heatheryoke.core.claims import WitnessSets
@@ -25,13 +26,12 @@
         self.current: Topology | None = None
         self.superseded: list[Superseded] = []
         self.began = 0.0
-        self.first_version = 0
+        self.is_first_start = False
 
     def use(self, topology: Topology, now: float) -> None:
         """Bring a topology into force."""
         if self.current is None:
-            self.began = now
-            self.first_version = topology.version
+            self.began = -inf if self.is_first_start else now
         else:
             self.superseded.append(Superseded(self.current, now))
         self.current = topology
@@ -60,23 +60,15 @@
                 return topology.hosts[name]
         return None
 
+    def is_complete(self, now: float) -> bool:
+        """Tell whether every topology in force during the last `keep_s` is known."""
+        return now - self.began >= self.keep_s
+
     def witness_sets(self, service: str, request_id: bytes, now: float) -> WitnessSets:
-        """Return every witness set of a request id during the lifetime of a claim."""
+        """Return every witness set of a request id that is known to count."""
         topologies = [row.topology for row in self.superseded if now - row.until < self.keep_s]
         sets = [self.witnesses(each, service, request_id) for each in (self.current, *topologies)]
-        known_for = now - self.began
-        history_from = 0 if known_for >= self.keep_s else self.first_version
-        return WitnessSets(list(dict.fromkeys(filter(None, sets))), history_from)
-
-    def is_missing(self, service: str, request_id: bytes, history_from: int, now: float) -> bool:
-        """Tell whether a claimant that knows epochs from `history_from` misses a witness set."""
-        present = self.witnesses(self.current, service, request_id)
-        return any(
-            row.topology.version < history_from
-            and now - row.until < self.keep_s
-            and self.witnesses(row.topology, service, request_id) != present
-            for row in self.superseded
-        )
+        return WitnessSets(list(dict.fromkeys(filter(None, sets))), self.is_complete(now))
 
     @staticmethod
     def witnesses(topology: Topology, service: str, request_id: bytes) -> frozenset[str]:
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -34,6 +34,7 @@
     "ResultRequest",
     "ResultState",
     "Visit",
+    "WitnessSet",
     "Yield",
 ]
 
@@ -213,17 +214,18 @@
 
 
 class ClaimRequest(NamedTuple):
-    """Asks a witness to let `runner` run a request.
+    """Asks a witness to let `runner` run a request of a service.
 
-    `supersedes` names an attempt known to be released; `history_from` is the first epoch whose
-    witnesses the runner knows of, 0 if it knows all that count.
+    `supersedes` names an attempt known to be released; `lacks_history` tells that the runner does
+    not know the witnesses of every epoch in force during a claim's lifetime.
     """
 
+    service: str
     request_id: bytes
     runner: str
     attempt: int
     supersedes: int = 0
-    history_from: int = 0
+    lacks_history: bool = False
 
 
 class ClaimVerdict(IntEnum):
@@ -232,11 +234,19 @@
     GRANTED = 0
     HELD = 1
     RECOVERING = 2
-    STALE_EPOCH = 3
+
+
+class WitnessSet(NamedTuple):
+    """The witnesses that one epoch gave a request id."""
+
+    hosts: tuple[str, ...]
 
 
 class ClaimReply(NamedTuple):
-    """A witness's answer; `holder` and `holder_attempt` name the claim that stands."""
+    """A witness's answer; `holder` and `holder_attempt` name the claim that stands.
+
+    To a runner that lacks history, a witness that has it names the witnesses of former epochs.
+    """
 
     request_id: bytes
     witness: str
@@ -244,6 +254,8 @@
     verdict: ClaimVerdict
     holder: str
     holder_attempt: int
+    knows_history: bool = False
+    former_sets: tuple[WitnessSet, ...] = ()
 
 
 class ClaimRelease(NamedTuple):
--- a/src/heatheryoke/core/node.py
+++ b/src/heatheryoke/core/node.py
@@ -13,6 +13,7 @@
     Effect,
     FetchConfiguration,
     LogChange,
+    SendForward,
     SendPeer,
     Stopped,
 )
@@ -41,7 +42,7 @@
 PAUSE_S = 1.0
 CONFIRM_RETRY_S = 0.5
 CONFIRM_PEERS = 3
-FIRST_MESSAGES = (EpochNotice, ConfigurationRequest, ConfigurationPart)
+CONFIGURATION_MESSAGES = (EpochNotice, ConfigurationRequest, ConfigurationPart)
 
 Handler = Callable[[Any], list[Effect]]
 
@@ -109,7 +110,25 @@
     def reduce(self, event: Event) -> list[Effect]:
         """Take one event; return the effects, in order."""
         effects = self.notice_pause(event.now)
-        return effects + self.event_handlers[type(event)](event)
+        effects += self.event_handlers[type(event)](event)
+        if self.topology is not None and self.topology.withdrawn:
+            return [effect for effect in effects if self.may_send(effect)]
+        return effects
+
+    def may_send(self, effect: Effect) -> bool:
+        """Tell whether an effect sends nothing into another, withdrawn failure domain.
+
+        News of the configuration may enter it: else its processes could not learn of the end.
+        """
+        if not isinstance(effect, SendPeer | SendForward):
+            return True
+        if isinstance(effect.message, CONFIGURATION_MESSAGES):
+            return True
+        target = self.topology.hosts_by_address.get(effect.to)
+        if target is None or target.failure_domain not in self.topology.withdrawn:
+            return True
+        own = self.topology.hosts.get(self.host_name)
+        return own is not None and own.failure_domain == target.failure_domain
 
     def is_muted(self) -> bool:
         """Tell whether callers' packets must be dropped: the view may be old, or is missing."""
@@ -220,7 +239,7 @@
     def on_peer_message(self, event: PeerMessageArrived) -> list[Effect]:
         """Fetch a newer epoch if the sender has one, then handle the message."""
         effects = self.configuration.request_from(event.sender, event.epoch, event.now)
-        if self.topology is None and type(event.message) not in FIRST_MESSAGES:
+        if self.topology is None and type(event.message) not in CONFIGURATION_MESSAGES:
             return [*effects, Count("dropped_no_configuration")]
         handler = self.message_handlers.get(type(event.message))
         if handler is None:
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -11,6 +11,7 @@
 
 __all__ = ["OwnedFlow", "OwnedFlows", "Registrar"]
 
+RECENT_S = 5.0
 REMEMBERED_ANSWERS = 32
 BATCH_ENTRIES = 12
 RESEND_S = 0.3
@@ -74,12 +75,47 @@
         )
 
 
+class RecentFlows:
+    """Flows without a feed that had a packet in this window of time or the one before."""
+
+    def __init__(self):
+        self.window = 0
+        self.current: set[FlowKey] = set()
+        self.former: set[FlowKey] = set()
+
+    def turn(self, now: float) -> None:
+        """Begin the window that `now` lies in."""
+        window = int(now / RECENT_S)
+        if window == self.window:
+            return
+        self.former = self.current if window == self.window + 1 else set()
+        self.current = set()
+        self.window = window
+
+    def note(self, flow: FlowKey, now: float) -> None:
+        """Note a packet."""
+        self.turn(now)
+        self.current.add(flow)
+
+    def forget(self, flow: FlowKey) -> None:
+        """Leave a flow out."""
+        self.current.discard(flow)
+        self.former.discard(flow)
+
+    def count(self, now: float) -> int:
+        """Return how many flows had a packet lately."""
+        self.turn(now)
+        return len(self.current | self.former)
+
+
 class OwnedFlows:
     """Owned flows by key, and for each service in order of their last packet."""
 
     def __init__(self):
         self.flows: dict[FlowKey, OwnedFlow] = {}
         self.by_service: dict[str, OrderedDict[FlowKey, OwnedFlow]] = {}
+        self.with_feed: dict[str, set[FlowKey]] = {}
+        self.recent: dict[str, RecentFlows] = {}
 
     def __len__(self) -> int:
         return len(self.flows)
@@ -94,12 +130,31 @@
         owned = self.flows.pop(flow, None)
         if owned is not None:
             del self.by_service[owned.service][flow]
+            self.with_feed.get(owned.service, set()).discard(flow)
         return owned
 
     def touch(self, owned: OwnedFlow, now: float) -> None:
         """Note a packet of a flow."""
         owned.active = now
         self.by_service[owned.service].move_to_end(owned.flow)
+        if not owned.feeds:
+            self.recent.setdefault(owned.service, RecentFlows()).note(owned.flow, now)
+
+    def note_feeds(self, owned: OwnedFlow) -> None:
+        """Note whether a flow has a feed."""
+        flows = self.with_feed.setdefault(owned.service, set())
+        if owned.feeds:
+            flows.add(owned.flow)
+            if owned.service in self.recent:
+                self.recent[owned.service].forget(owned.flow)
+        else:
+            flows.discard(owned.flow)
+
+    def live(self, service: str, now: float) -> int:
+        """Return how many flows of a service have a feed or had a packet lately."""
+        recent = self.recent.get(service)
+        feeds = len(self.with_feed.get(service, ()))
+        return feeds + (recent.count(now) if recent else 0)
 
     def count(self, service: str) -> int:
         """Return how many flows of a service are owned."""
--- a/src/heatheryoke/core/placement.py
+++ b/src/heatheryoke/core/placement.py
@@ -1,13 +1,15 @@
 """Where a new flow goes: its first packet passes a few candidates, and the last decides."""
 
 from abc import ABC, abstractmethod
+from collections import deque
 from math import inf
 
 from heatheryoke.core.messages import Visit
 from heatheryoke.inventory.checks import short_id
 from heatheryoke.inventory.document import Host
 
-__all__ = ["MAXIMUM_VISITS", "FirstCandidate", "LeastOfVisited", "Placement"]
+__all__ = ["MAXIMUM_VISITS", "FirstCandidate", "LeastOfVisited", "Offers"]
+__all__ += ["Placement"]
 
 MAXIMUM_VISITS = 3
 
@@ -42,6 +44,27 @@
         return next((host for host in candidates if short_id(host.name) not in seen), None)
 
 
+class Offers:
+    """How many new flows this host was offered to lately, of which it may get its share.
+
+    Without them, flows that arrive together would all see the same least loaded host.
+    """
+
+    def __init__(self, keep_s: float):
+        self.keep_s = keep_s
+        self.times: deque[float] = deque()
+
+    def add(self, now: float) -> None:
+        """Note an offer."""
+        self.times.append(now)
+
+    def count(self, now: float) -> float:
+        """Return the flows to expect from the offers that are still open."""
+        while self.times and now - self.times[0] > self.keep_s:
+            self.times.popleft()
+        return len(self.times) / MAXIMUM_VISITS
+
+
 class FirstCandidate(Placement):
     """Takes the first candidate by rank: plain rendezvous hashing."""
 
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -109,10 +109,6 @@
             self.admissions[service] = found
         return found
 
-    def load(self, service: str, now: float) -> float:
-        """Return the work outstanding at an upstream as a share of its limit."""
-        return self.admission(service, now).load()
-
     def has_pending(self, flow: FlowKey) -> bool:
         """Tell whether a flow has an open request."""
         return any(key[0] == flow for key in self.pending)
@@ -314,6 +310,7 @@
         active.renews = False
         self.feeds[active.flow, active.request.token] = active
         owned.feeds[active.request.token] = active.payload
+        self.flows.note_feeds(owned)
 
     def settle_feed(self, owned: OwnedFlow, active: ActiveRequest, feed: bool) -> None:
         """Open a feed if the upstream has agreed to it, else end the one that was renewed."""
@@ -326,6 +323,7 @@
         """Forget a feed."""
         self.feeds.pop((owned.flow, token), None)
         owned.feeds.pop(token, None)
+        self.flows.note_feeds(owned)
 
     def restore_feed(self, owned: OwnedFlow, payload: bytes, now: float) -> list[Effect]:
         """Take a feed back after a restart of this agent, to be renewed at the upstream."""
--- a/src/heatheryoke/core/topology.py
+++ b/src/heatheryoke/core/topology.py
@@ -83,6 +83,7 @@
         self.document = document
         self.version = document.version
         self.hosts = {host.name: host for host in document.hosts}
+        self.hosts_by_address = {host.address: host for host in document.hosts}
         self.hosts_by_id = {short_id(host.name): host for host in document.hosts}
         self.withdrawn = {row.name for row in document.failure_domains if row.withdrawn}
         self.services = {service.name: service for service in document.services}
--- a/src/heatheryoke/core/write_claims.py
+++ b/src/heatheryoke/core/write_claims.py
@@ -11,11 +11,11 @@
     ClaimRelease,
     ClaimReply,
     ClaimRequest,
-    ClaimVerdict,
     PeerMessage,
     ResultReply,
     ResultRequest,
     ResultState,
+    WitnessSet,
 )
 from heatheryoke.core.requests import ActiveRequest, RefusalReason, RequestPhase
 from heatheryoke.core.runs import Run, Runs
@@ -101,7 +101,7 @@
         active.phase = RequestPhase.CLAIMING
         self.claiming[request_id] = active
         sets = self.history.witness_sets(active.service, request_id, now)
-        opened = self.claimant.begin(request_id, sets, now, supersedes)
+        opened = self.claimant.begin(active.service, request_id, sets, now, supersedes)
         active.attempt = opened.attempt
         return [Count("claims"), *self.ask_witnesses(self.claimant.asks(opened), now)]
 
@@ -276,20 +276,12 @@
 
     def on_claim_request(self, sender: Address, request: ClaimRequest, now: float) -> list[Effect]:
         """Answer a runner as one of its witnesses."""
-        if self.misses_witnesses(request, now):
-            reply = self.witness.reply(request, ClaimVerdict.STALE_EPOCH, None)
-            return [Count("claims_stale"), SendPeer(sender, reply)]
-        return [SendPeer(sender, self.witness.ask(request, now))]
-
-    def misses_witnesses(self, request: ClaimRequest, now: float) -> bool:
-        """Tell whether the runner may not know a witness set that counts."""
-        if not request.history_from:
-            return False
-        services = self.history.current.services_of_host.get(self.host_name, ())
-        return any(
-            self.history.is_missing(service, request.request_id, request.history_from, now)
-            for service in services
-        )
+        reply = self.witness.ask(request, now)
+        if request.lacks_history and self.history.is_complete(now):
+            sets = self.history.witness_sets(request.service, request.request_id, now)
+            former = tuple(WitnessSet(tuple(sorted(members))) for members in sets.members)
+            reply = reply._replace(knows_history=True, former_sets=former)
+        return [SendPeer(sender, reply)]
 
     def records_for(self, host_name: str, now: float) -> list[ClaimRecord]:
         """Return the claims that stand and of which a host should be a witness."""
--- a/src/heatheryoke/measure/caller_model.py
+++ b/src/heatheryoke/measure/caller_model.py
@@ -37,6 +37,7 @@
         self.asked_at: list[tuple[float, str]] = []
         self.mixed = 0
         self.refused_ids: list[bytes] = []
+        self.latencies_s: list[float] = []
 
     def served(self) -> int:
         """Return how many requests were served."""
@@ -56,10 +57,12 @@
 class Open:
     """One request in progress at its caller."""
 
-    __slots__ = ("attempts", "message", "sent", "timeout_s")
+    __slots__ = ("asked", "attempts", "flow", "message", "sent", "timeout_s")
 
-    def __init__(self, message: PlainMessage):
+    def __init__(self, message: PlainMessage, flow: FlowKey, now: float):
         self.message = message
+        self.asked = now
+        self.flow = flow
         self.sent = 0
         self.timeout_s = FIRST_TIMEOUT_S
         self.attempts = 1
@@ -147,7 +150,7 @@
         if kind is not RequestKind.FEED:
             self.tally.asked[path] += 1
             self.tally.asked_at.append((self.scheduler.now, path))
-        self.open[token] = Open(message)
+        self.open[token] = Open(message, self.flow, self.scheduler.now)
         self.send(token)
         return token
 
@@ -160,7 +163,7 @@
             self.give_up(token, current)
             return
         message_id = current.message.message_id
-        self.transmit(self.flow, self.traits.service.address, current.message.encode())
+        self.transmit(current.flow, self.traits.service.address, current.message.encode())
         current.sent += 1
         timeout = current.timeout_s * (1 + self.random.random() / 2)
         current.timeout_s *= 2
@@ -184,8 +187,9 @@
         self.end(token, current, Outcome.SILENT)
 
     def retry(self, token: bytes, current: Open) -> None:
-        """Send the same request id as a new request."""
+        """Send the same request id as a new request, from the present socket."""
         self.next_number += 1
+        current.flow = self.flow
         current.attempts += 1
         current.sent = 0
         current.timeout_s = FIRST_TIMEOUT_S
@@ -199,19 +203,19 @@
         self.tally.outcomes[path, outcome] += 1
         if outcome is Outcome.SERVED:
             self.tally.served_at.append((self.scheduler.now, path))
+            self.tally.latencies_s.append(self.scheduler.now - current.asked)
 
     # What the caller hears
 
     def hear(self, flow: FlowKey, data: bytes) -> None:
         """Take a datagram that reached this caller's socket."""
-        if flow != self.flow:
-            return
         message = PlainMessage.decode(data)
         if message.token == self.feed_token and message.kind is RequestKind.FEED:
-            self.hear_feed(message)
+            if flow == self.flow:
+                self.hear_feed(message)
             return
         current = self.open.get(message.token)
-        if current is None:
+        if current is None or current.flow != flow:
             return
         if message.phase == ANSWER:
             if not message.text.startswith(current.message.text + b"|"):
--- a/src/heatheryoke/measure/figures.py
+++ b/src/heatheryoke/measure/figures.py
@@ -43,6 +43,8 @@
     configuration_lag_s: float | None
     epochs_reverted: int
     control_bytes_per_node_s: float
+    mean_latency_s: float
+    p99_latency_s: float
     mean_hops: float
     p99_hops: int
     platform_calls: int
@@ -54,6 +56,7 @@
     for (_, outcome), number in world.tally.outcomes.items():
         outcomes[outcome] += number
     feeds = [caller for caller in world.callers.values() if caller.traits.feed_path]
+    latencies = sorted(world.tally.latencies_s)
     hops = sorted(hop for process in world.processes.values() for hop in process.hops)
     return Figures(
         scenario=scenario,
@@ -82,6 +85,8 @@
         configuration_lag_s=_configuration_lag(world),
         epochs_reverted=world.epochs_reverted,
         control_bytes_per_node_s=_control_rate(world),
+        mean_latency_s=round(sum(latencies) / max(1, len(latencies)), 4),
+        p99_latency_s=round(latencies[int(len(latencies) * 0.99)], 4) if latencies else 0.0,
         mean_hops=round(sum(hops) / len(hops), 3) if hops else 0.0,
         p99_hops=hops[int(len(hops) * 0.99)] if hops else 0,
         platform_calls=world.platform_calls,
--- a/src/heatheryoke/wire/control.py
+++ b/src/heatheryoke/wire/control.py
@@ -27,7 +27,7 @@
     name: str
     wire_name: str
     row_type: type | None
-    is_list: bool
+    item_type: type | None
     enum_type: type[IntEnum] | None
 
 
@@ -39,9 +39,10 @@
 def _field(name: str, hint: Any) -> Field:
     if get_origin(hint) is tuple:
         item = get_args(hint)[0]
-        return Field(name, _camel(name), item if hasattr(item, "_fields") else None, True, None)
+        is_row = hasattr(item, "_fields")
+        return Field(name, _camel(name), item if is_row else None, None if is_row else item, None)
     enum_type = hint if isinstance(hint, type) and issubclass(hint, IntEnum) else None
-    return Field(name, _camel(name), None, False, enum_type)
+    return Field(name, _camel(name), None, None, enum_type)
 
 
 def _fields(message_type: type) -> tuple[Field, ...]:
@@ -65,16 +66,20 @@
 
 
 def _as_dict(message: Any) -> dict[str, Any]:
+    fields = FIELDS[type(message)]
     return {
-        field.wire_name: (
-            [_as_dict(row) for row in value]
-            if field.row_type
-            else list(value) if field.is_list else int(value) if field.enum_type else value
-        )
-        for field, value in zip(FIELDS[type(message)], message, strict=True)
+        field.wire_name: _plain(field, value) for field, value in zip(fields, message, strict=True)
     }
 
 
+def _plain(field: Field, value: Any) -> Any:
+    if field.row_type:
+        return [_as_dict(row) for row in value]
+    if field.item_type:
+        return list(value)
+    return int(value) if field.enum_type else value
+
+
 def _from_reader(message_type: type, reader: Any) -> Any:
     return message_type(
         *(_value(field, getattr(reader, field.wire_name)) for field in FIELDS[message_type])
@@ -84,8 +89,8 @@
 def _value(field: Field, value: Any) -> Any:
     if field.row_type:
         return tuple(_from_reader(field.row_type, row) for row in value)
-    if field.is_list:
-        return tuple(bytes(item) for item in value)
+    if field.item_type:
+        return tuple(field.item_type(item) for item in value)
     if field.enum_type:
         return field.enum_type(value)
     return value
--- a/src/heatheryoke/wire/messages.capnp
+++ b/src/heatheryoke/wire/messages.capnp
@@ -103,11 +103,16 @@
 }
 
 struct ClaimRequest {
-  requestId @0 :Data;
-  runner @1 :Text;
-  attempt @2 :UInt64;
-  supersedes @3 :UInt64;
-  historyFrom @4 :UInt64;
+  service @0 :Text;
+  requestId @1 :Data;
+  runner @2 :Text;
+  attempt @3 :UInt64;
+  supersedes @4 :UInt64;
+  lacksHistory @5 :Bool;
+}
+
+struct WitnessSet {
+  hosts @0 :List(Text);
 }
 
 struct ClaimReply {
@@ -117,6 +122,8 @@
   verdict @3 :UInt8;
   holder @4 :Text;
   holderAttempt @5 :UInt64;
+  knowsHistory @6 :Bool;
+  formerSets @7 :List(WitnessSet);
 }
 
 struct ClaimRelease {
--- a/tests/test_request_engine.py
+++ b/tests/test_request_engine.py
@@ -26,6 +26,7 @@
         endpoints = tuple(row for row in document.endpoints if row.host == "upstream-1")
         self.topology = Topology(document._replace(endpoints=endpoints))
         self.history = TopologyHistory(300.0)
+        self.history.is_first_start = True
         self.history.use(self.topology, 0.0)
         self.flows = OwnedFlows()
         self.service = DEPLOYMENTS[deployment].main
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -19,6 +19,7 @@
     Registration,
     Registrations,
     Visit,
+    WitnessSet,
 )
 from heatheryoke.core.requests import RefusalReason, RequestKind
 from heatheryoke.inventory.document import Address, Service
@@ -113,7 +114,16 @@
         [
             Registrations(1, (ROW, ROW)),
             Heartbeat("upstream-1", 2**63, 5),
-            ClaimReply(b"id", "upstream-2", 7, ClaimVerdict.HELD, "upstream-3", 9),
+            ClaimReply(
+                b"id",
+                "upstream-2",
+                7,
+                ClaimVerdict.HELD,
+                "upstream-3",
+                9,
+                True,
+                (WitnessSet(("a", "b")),),
+            ),
             Accusations(3, (Accusation("a", "b", 4, True),)),
             RecoveryReply(1, 0, 1, True, False, (ROW,), (ClaimRecord(b"x", "y", 3, 2.5),)),
         ],
