Give a restarted agent the history of its peers

Cause: after a rolling upgrade of all agents of a service none knew the epochs of the last 300 s, so no runner could name every witness set: 6,227 of 17,330 outcomes unknown. Ruled out: missing claims (the handover had been redeemed; recovering_until was past).

--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -166,7 +166,7 @@
         self.directory.expire(now, EXPIRY_BATCH)
         self.renew(now)
         effects += self.registrar.flush(self.topology, now)
-        effects += self.recovery.advance(now)
+        effects += self.recovery.advance(now, self.history.is_complete(now))
         return effects + self.hand_over(now)
 
     def hand_over(self, now: float) -> list[Effect]:
@@ -556,6 +556,9 @@
         claims = self.engine.claims.records_for(request.host, event.now)
         handed_over = self.handovers.redeem(request.host, request.incarnation)
         replies = recovery_replies(request, complete, handed_over, entries, claims)
+        if self.history.is_complete(event.now):
+            history = self.history.records(event.now)
+            replies[0] = replies[0]._replace(knows_history=True, history=history)
         return [SendPeer(event.sender, reply) for reply in replies]
 
     def on_recovery_reply(self, event: PeerMessageArrived) -> list[Effect]:
@@ -573,11 +576,18 @@
         for record in reply.claims:
             self.engine.claims.witness.restore(record, event.now)
         self.recovery.note(peer, reply)
+        if reply.knows_history and event.epoch == self.epoch:
+            self.take_history(reply, event.now)
         if self.recovery.has_claims() and self.engine.claims.witness.is_recovering(event.now):
             self.engine.claims.witness.recovered(event.now)
             effects.append(LogChange(self.host_name, "recovered", "claims read back"))
         return effects
 
+    def take_history(self, reply: RecoveryReply, now: float) -> None:
+        """Take a peer's history, unless this process knows it already."""
+        if not self.history.is_complete(now):
+            self.history.adopt(reply.history, now)
+
     def on_claim_handover(self, event: PeerMessageArrived) -> list[Effect]:
         """Keep the claims of a witness that stops."""
         message = event.message
--- a/src/heatheryoke/core/history.py
+++ b/src/heatheryoke/core/history.py
@@ -1,21 +1,29 @@
 """The topologies in force during the lifetime of a claim, and the rankings they gave."""
 
+from functools import partial
 from math import inf
-from typing import NamedTuple
+
+from returns.result import Success
 
 from heatheryoke.core.claims import WitnessSets
 from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.messages import FormerTopology
 from heatheryoke.core.topology import Topology
+from heatheryoke.inventory.changes import apply_change, decode_change, encode_change, make_change
 from heatheryoke.inventory.document import Host
 
 __all__ = ["TopologyHistory"]
 
 
-class Superseded(NamedTuple):
-    """A topology that was in force until a time."""
+class Superseded:
+    """A topology that was in force until a time; `change` leads to it from the one after it."""
+
+    __slots__ = ("change", "topology", "until")
 
-    topology: Topology
-    until: float
+    def __init__(self, topology: Topology, until: float, change: bytes = b""):
+        self.topology = topology
+        self.until = until
+        self.change = change
 
 
 class TopologyHistory:
@@ -60,6 +68,33 @@
                 return topology.hosts[name]
         return None
 
+    def records(self, now: float) -> tuple[FormerTopology, ...]:
+        """Return the superseded documents, newest first, each as a change from the one after."""
+        rows: list[FormerTopology] = []
+        following = self.current.document
+        for row in reversed(self.superseded):
+            if now - row.until >= self.keep_s:
+                break
+            if not row.change:
+                row.change = encode_change(make_change(following, row.topology.document))
+            rows.append(FormerTopology(now - row.until, row.change))
+            following = row.topology.document
+        return tuple(rows)
+
+    def adopt(self, records: tuple[FormerTopology, ...], now: float) -> bool:
+        """Take the history of a peer that is at the same version; tell whether it held."""
+        adopted: list[Superseded] = []
+        following = self.current.document
+        for record in records:
+            read = decode_change(record.change).bind(partial(apply_change, following))
+            if not isinstance(read, Success):
+                return False
+            following = read.unwrap()
+            adopted.insert(0, Superseded(Topology(following), now - record.age_s, record.change))
+        self.superseded = adopted
+        self.began = -inf
+        return True
+
     def is_complete(self, now: float) -> bool:
         """Tell whether every topology in force during the last `keep_s` is known."""
         return now - self.began >= self.keep_s
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -21,6 +21,7 @@
     "ConfigurationPart",
     "ConfigurationRequest",
     "EpochNotice",
+    "FormerTopology",
     "Forward",
     "Heartbeat",
     "Hint",
@@ -122,6 +123,13 @@
     remaining_s: float
 
 
+class FormerTopology(NamedTuple):
+    """A document that was in force until `age_s` ago, as a change from the one after it."""
+
+    age_s: float
+    change: bytes
+
+
 class RecoveryRequest(NamedTuple):
     """A restarted agent asks a peer for what it held; the answer repeats the question's number."""
 
@@ -134,7 +142,8 @@
     """One part of a peer's answer to a recovery request.
 
     `complete` is False while the peer itself has not recovered its claims; `handed_over` tells
-    that the asker's former process gave its claims to every peer before it stopped.
+    that the asker's former process gave its claims to every peer before it stopped. The first part
+    has the documents of a claim's lifetime, newest first, if the peer knows them all.
     """
 
     question: int
@@ -144,6 +153,8 @@
     handed_over: bool
     entries: tuple[Registration, ...]
     claims: tuple[ClaimRecord, ...]
+    knows_history: bool = False
+    history: tuple[FormerTopology, ...] = ()
 
 
 class ClaimHandover(NamedTuple):
--- a/src/heatheryoke/core/recovery.py
+++ b/src/heatheryoke/core/recovery.py
@@ -48,11 +48,11 @@
         request = RecoveryRequest(self.host_name, self.incarnation, self.question)
         return [SendPeer(peer.address, request) for peer in peers]
 
-    def advance(self, now: float) -> list[Effect]:
+    def advance(self, now: float, has_history: bool) -> list[Effect]:
         """Turn to claims when it is time, and ask the silent again."""
         if self.started is None or now - self.started > GIVE_UP_S:
             return []
-        if self.was_handed_over():
+        if self.was_handed_over() and has_history:
             return []
         if not self.asks_for_claims and now - self.started > RECOVERY_DELAY_S:
             self.asks_for_claims = True
@@ -61,6 +61,8 @@
         if now < self.retry_at:
             return []
         self.retry_at = now + RETRY_S
+        if self.has_claims() and not has_history:
+            return self.ask(list(self.peers.values()))
         done = self.complete if self.asks_for_claims else self.whole
         return self.ask([peer for name, peer in self.peers.items() if name not in done])
 
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -261,6 +261,7 @@
             return [AnswerCaller(owned.flow, payload)]
         key = (owned.flow, answer.token)
         if key in self.feeds and key not in self.pending:
+            self.admission(owned.service, now).renewals.pop(key, None)
             if not answer.feed:
                 self.end_feed(owned, answer.token)
             return [Count("notifications"), AnswerCaller(owned.flow, payload)]
@@ -278,7 +279,12 @@
         feed: bool,
         now: float,
     ) -> list[Effect]:
-        """Take the upstream's answer to a request in progress."""
+        """Take the upstream's answer to a request in progress.
+
+        After a renewal nothing is started until the next tick: a notification may have passed for
+        its answer, and others may show meanwhile that further renewals are not needed.
+        """
+        was_renewal = active.renews
         admission = self.admission(active.service, now)
         was_cold = admission.cold_starts
         admission.finish(active, now, refused)
@@ -295,7 +301,7 @@
                 self.settle_feed(owned, active, feed)
         if active.request.request_id:
             effects += self.claims.publish(active.request.request_id, payload)
-        return effects + self.carry_out(admission.advance(now), now)
+        return effects if was_renewal else effects + self.carry_out(admission.advance(now), now)
 
     def measure(self, name: str, active: ActiveRequest, value: float) -> Effect:
         """Return a value for the histogram of the request's tenant and class."""
--- a/src/heatheryoke/wire/messages.capnp
+++ b/src/heatheryoke/wire/messages.capnp
@@ -58,6 +58,13 @@
   handedOver @4 :Bool;
   entries @5 :List(Registration);
   claims @6 :List(ClaimRecord);
+  knowsHistory @7 :Bool;
+  history @8 :List(FormerTopology);
+}
+
+struct FormerTopology {
+  ageS @0 :Float64;
+  change @1 :Data;
 }
 
 struct ClaimHandover {
