Notice an upstream that has lost its work although nothing is sent to it

Cause: after a silent cold start with four requests in progress the upstream fell over; the agent, its slots all taken by requests that would never be answered, sent nothing and so was never told that the port was closed. It stood still for 40 s and its feeds were lost. Ruled out: starving renewals (mended before; the queue of renewals was empty).

--- a/src/heatheryoke/core/admission.py
+++ b/src/heatheryoke/core/admission.py
@@ -18,6 +18,9 @@
 SLOWNESS_ALLOWED = 2.0
 SLOWNESS_ALARM = 8.0
 PROBE_S = 0.5
+PATIENCE_S = 2.0
+FIRST_PATIENCE_S = 10.0
+LOST_FACTOR = 20.0
 MAXIMUM_QUEUE = 1_000
 
 
@@ -162,6 +165,15 @@
         """Free the slot of a request that got no answer."""
         self.running.pop((request.flow, request.request.token), None)
 
+    def patience_s(self, request: ActiveRequest) -> float:
+        """Return after how long in progress a request's answer is no longer expected."""
+        baseline = self.baseline(request)
+        return FIRST_PATIENCE_S if baseline is None else max(PATIENCE_S, LOST_FACTOR * baseline)
+
+    def is_stalled(self) -> bool:
+        """Tell whether requests are in progress and each of them is overdue."""
+        return bool(self.running) and all(row.overdue for row in self.running.values())
+
     def learn(self, request: ActiveRequest, took: float, now: float) -> None:
         """Grow the limit after a good answer; cut it after a sudden slowdown."""
         if not request.overdue and self.note_slowness(request, took):
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -34,7 +34,7 @@
 __all__ = ["RequestEngine"]
 
 DEFAULT_TIMEOUT_S = 30.0
-SLOT_HOLD_S = 10.0
+PROBE_S = 0.5
 RENEWAL_TIMEOUT_S = 3.0
 START_WINDOW_S = 30.0
 
@@ -72,6 +72,8 @@
         self.feeds: dict[RequestId, ActiveRequest] = {}
         self.claims = WriteClaims(host_name, incarnation, history, self, started, claim_lifetime_s)
         self.is_closing = False
+        self.probe_at: dict[str, float] = {}
+        self.probes: dict[FlowKey, int] = {}
         self.handlers: dict[RequestKind, Handler] = {
             RequestKind.READ: self.on_read,
             RequestKind.FEED: self.on_read,
@@ -258,6 +260,9 @@
         if answer is None:
             return [Count("malformed_answers")]
         if not answer.final:
+            if self.probes.get(owned.flow) == answer.message_id:
+                del self.probes[owned.flow]
+                return [Count("probes_answered")]
             return [AnswerCaller(owned.flow, payload)]
         key = (owned.flow, answer.token)
         if key in self.feeds and key not in self.pending:
@@ -379,6 +384,7 @@
     def advance(self, now: float) -> list[Effect]:
         """Start, refuse, repeat and expire what is due."""
         effects = self.claims.advance(now)
+        effects += self.probe_stalled(now)
         for admission in list(self.admissions.values()):
             effects += self.carry_out(admission.advance(now), now)
         return effects + self.expire_pending(now)
@@ -387,22 +393,44 @@
         """Answer requests whose time is over, and free the slots of those long lost."""
         effects: list[Effect] = []
         for key, active in list(self.pending.items()):
-            if now < active.deadline:
-                continue
-            if active.renews:
-                self.repeat_renewal(active, now)
-            elif active.phase is RequestPhase.RUNNING:
-                active.phase = RequestPhase.ABANDONED
-                effects += self.answer_unknown(active, now)
-            elif active.phase is RequestPhase.ABANDONED and now > active.deadline + SLOT_HOLD_S:
+            if active.phase is RequestPhase.RUNNING:
+                effects += self.expire_running(active, now)
+            elif active.phase is RequestPhase.ABANDONED and now > active.deadline:
                 self.admission(active.service, now).abandon(active)
                 effects += self.claims.lose(active)
                 del self.pending[key]
-            elif active.phase is RequestPhase.WAITING:
+            elif active.phase is RequestPhase.WAITING and now > active.deadline:
                 self.claims.stop_waiting(active)
                 effects += self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
         return effects
 
+    def expire_running(self, active: ActiveRequest, now: float) -> list[Effect]:
+        """Give up a request whose answer is no longer expected; its slot is held for a while."""
+        patience_s = self.admission(active.service, now).patience_s(active)
+        if now < min(active.deadline, active.started + patience_s):
+            return []
+        if active.renews:
+            self.repeat_renewal(active, now)
+            return []
+        active.phase = RequestPhase.ABANDONED
+        active.deadline = now + patience_s
+        return self.answer_unknown(active, now)
+
+    def probe_stalled(self, now: float) -> list[Effect]:
+        """Ask upstreams that answer nothing for a sign of life."""
+        effects: list[Effect] = []
+        for service, admission in self.admissions.items():
+            if not admission.is_stalled() or now < self.probe_at.get(service, 0.0):
+                continue
+            self.probe_at[service] = now + PROBE_S
+            flow = next(iter(admission.running))[0]
+            message_id = xxhash.xxh32_intdigest(flow, int(now * 1000)) & 0xFFFF
+            payload = self.codec_of(service).probe(message_id)
+            if payload:
+                self.probes[flow] = message_id
+                effects += [Count("probes"), Deliver(flow, payload)]
+        return effects
+
     def answer_unknown(self, active: ActiveRequest, now: float) -> list[Effect]:
         """Tell a caller that its request was started and may or may not have run."""
         retry_s = spread(self.admission(active.service, now).retry_s(now), active)
--- a/src/heatheryoke/core/requests.py
+++ b/src/heatheryoke/core/requests.py
@@ -154,6 +154,10 @@
     def stamp(self, payload: bytes, deadline_unix_s: float) -> bytes:
         """Return a request's datagram with the time after which the upstream must not start it."""
 
+    @abstractmethod
+    def probe(self, message_id: int) -> bytes:
+        """Return a datagram that asks an upstream for a sign of life, empty if there is none."""
+
     @abstractmethod
     def renewal(self, payload: bytes, message_id: int) -> bytes:
         """Return a feed's request, to be sent again under a new message id."""
@@ -185,6 +189,10 @@
         """Return the datagram as it is."""
         return payload
 
+    def probe(self, message_id: int) -> bytes:
+        """Return nothing, since an unread protocol has no probe."""
+        return b""
+
     def renewal(self, payload: bytes, message_id: int) -> bytes:
         """Return nothing, since an unread protocol has no feeds."""
         return b""
--- a/src/heatheryoke/measure/plain_codec.py
+++ b/src/heatheryoke/measure/plain_codec.py
@@ -113,6 +113,11 @@
         """Return a request's datagram with its deadline in place of its timeout."""
         return PlainMessage.decode(payload)._replace(number=deadline_unix_s).encode()
 
+    def probe(self, message_id: int) -> bytes:
+        """Return a control message."""
+        text = f"{self.service.name}|probe".encode()
+        return PlainMessage(REQUEST, RequestKind.CONTROL, message_id, "", b"", text=text).encode()
+
     def renewal(self, payload: bytes, message_id: int) -> bytes:
         """Return a feed's request, to be sent again under a new message id."""
         return PlainMessage.decode(payload)._replace(message_id=message_id).encode()
--- a/src/heatheryoke/wire/coap.py
+++ b/src/heatheryoke/wire/coap.py
@@ -116,6 +116,13 @@
         message.opt.add_option(OpaqueOption(DEADLINE_OPTION, milliseconds.to_bytes(8, "big")))
         return _encode(message)
 
+    def probe(self, message_id: int) -> bytes:
+        """Return an empty confirmable message, which a live endpoint resets."""
+        message = Message(code=codes.EMPTY)
+        message.mid = message_id
+        message.mtype = types.CON
+        return _encode(message)
+
     def renewal(self, payload: bytes, message_id: int) -> bytes:
         """Return a feed's request as a non-confirmable one, so that no caller misses its ACK."""
         message = Message.decode(payload)
