Keep a frozen or restarted home from calling known flows new; tell callers when a feed's owner yields

Cause: traces of the storm's broken feeds showed (1) a restarted home whose flow's owner was paused at that moment had no entry, as peers sent only their own flows and not what they know as the other home; (2) a home that had been paused counted its own pause as 10 s of another's silence and gave the owner up; (3) a losing owner dropped its feeds without a word, so callers noticed after 20 s; (4) a process that woke up, or restarted, in a withdrawn domain was answered from outside for as long as it asked. Ruled out: lost registrations (entries were at the other home), true partitions over 10 s. Change: recovery answers with all that concerns the asker; suspicion starts anew after a pause; yielding ends feeds openly; configuration news enters a withdrawn domain for 4 s only; a process that confirms its epoch asks the platform and its own domain first, and sends nothing else.

--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -530,9 +530,10 @@
         return self.yield_flow(owned, event.message.owner, event.now) if owned else []
 
     def yield_flow(self, owned: OwnedFlow, owner: str, now: float) -> list[Effect]:
-        """Drop a flow without a word to its caller, whom the other owner serves."""
+        """Drop a flow that another owner serves; its feeds end, so that the caller asks there."""
         self.flows.remove(owned.flow)
-        effects = self.engine.forget({owned.flow}, now)
+        effects = self.engine.end_feeds(owned.flow, now)
+        effects += self.engine.forget({owned.flow}, now)
         reason = f"owned by {owner}"
         return [
             *effects,
@@ -546,7 +547,9 @@
     def on_recovery_request(self, event: PeerMessageArrived) -> list[Effect]:
         """Send a restarted agent what this one holds for it."""
         request = event.message
-        entries = self.directory.owned_by(request.host)
+        entries = [
+            row for row in self.directory.registrations() if self.concerns(row, request.host)
+        ]
         entries += [
             owned.registration(self.host_name)
             for owned in self.flows.flows.values()
@@ -561,6 +564,13 @@
             replies[0] = replies[0]._replace(knows_history=True, history=history)
         return [SendPeer(event.sender, reply) for reply in replies]
 
+    def concerns(self, row: Registration, host_name: str) -> bool:
+        """Tell whether a host owns a flow, or is one of its homes."""
+        if row.owner == host_name:
+            return True
+        service = self.topology.service_at(flow_tuple(row.flow).service)
+        return service is not None and host_name in self.home_names(row.flow, service)
+
     def on_recovery_reply(self, event: PeerMessageArrived) -> list[Effect]:
         """Take back flows, directory entries and claims."""
         reply = event.message
--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -49,10 +49,9 @@
         entry = self.entries.get(flow) or self.tentative.get(flow)
         return entry if entry is not None and entry.expires > now else None
 
-    def owned_by(self, owner: str) -> list[Registration]:
-        """Return the registrations that name an owner."""
-        found = (entry.registration for entry in self.entries.values())
-        return [row for row in found if row.owner == owner]
+    def registrations(self) -> list[Registration]:
+        """Return every registration."""
+        return [entry.registration for entry in self.entries.values()]
 
     def expect(self, flow: FlowKey, owner: str, generation: int, now: float) -> None:
         """Note that a flow has just been passed to a host, until an owner registers it."""
@@ -86,13 +85,6 @@
         del self.entries[flow]
         return True
 
-    def forget_owner(self, owner: str) -> int:
-        """Drop every entry of an owner; return how many there were."""
-        flows = [row.flow for row in self.owned_by(owner)]
-        for flow in flows:
-            del self.entries[flow]
-        return len(flows)
-
     def remove(self, flow: FlowKey) -> None:
         """Drop a flow's entries."""
         self.entries.pop(flow, None)
--- a/src/heatheryoke/core/membership.py
+++ b/src/heatheryoke/core/membership.py
@@ -128,8 +128,9 @@
         return effects + self.spread(changed, now)
 
     def forgive_all(self, now: float) -> None:
-        """Restart every silence, since this process itself was paused."""
+        """Restart every silence and suspicion, since this process itself was paused."""
         self.last_heard = dict.fromkeys(self.last_heard, now)
+        self.suspected_since = dict.fromkeys(self.suspected_since, now)
 
     def heard(self, beat: Heartbeat, now: float) -> list[Effect]:
         """Take a heartbeat; answer with what this process knows if the sender's view differs."""
--- a/src/heatheryoke/core/node.py
+++ b/src/heatheryoke/core/node.py
@@ -42,6 +42,8 @@
 PAUSE_S = 1.0
 CONFIRM_RETRY_S = 0.5
 CONFIRM_PEERS = 3
+CONFIRM_WIDEN_S = 2.0
+WITHDRAWAL_NEWS_S = 4.0
 CONFIGURATION_MESSAGES = (EpochNotice, ConfigurationRequest, ConfigurationPart)
 
 Handler = Callable[[Any], list[Effect]]
@@ -62,10 +64,12 @@
         self.last_event: float | None = None
         self.confirming = False
         self.confirm_at = 0.0
+        self.resumed_at = 0.0
         self.paused_until_tick = False
         self.next_poll = 0.0
         self.stopping_since: float | None = None
         self.pending_span = 0
+        self.withdrawn_since: dict[str, float] = {}
         self.event_handlers: dict[type, Handler] = {
             Tick: self.on_tick,
             PeerMessageArrived: self.on_peer_message,
@@ -118,17 +122,20 @@
     def may_send(self, effect: Effect) -> bool:
         """Tell whether an effect sends nothing into another, withdrawn failure domain.
 
-        News of the configuration may enter it: else its processes could not learn of the end.
+        News of the withdrawal itself may enter it for `WITHDRAWAL_NEWS_S`; of what follows its
+        processes learn from the platform, and from each other.
         """
         if not isinstance(effect, SendPeer | SendForward):
             return True
-        if isinstance(effect.message, CONFIGURATION_MESSAGES):
-            return True
         target = self.topology.hosts_by_address.get(effect.to)
         if target is None or target.failure_domain not in self.topology.withdrawn:
             return True
         own = self.topology.hosts.get(self.host_name)
-        return own is not None and own.failure_domain == target.failure_domain
+        if own is not None and own.failure_domain == target.failure_domain:
+            return True
+        since = self.withdrawn_since.get(target.failure_domain, self.last_event)
+        is_news = isinstance(effect.message, CONFIGURATION_MESSAGES)
+        return is_news and self.last_event - since < WITHDRAWAL_NEWS_S
 
     def is_muted(self) -> bool:
         """Tell whether callers' packets must be dropped: the view may be old, or is missing."""
@@ -146,6 +153,7 @@
             return []
         self.confirming = True
         self.confirm_at = now
+        self.resumed_at = now
         self.paused_until_tick = True
         self.membership.forgive_all(now)
         resumed = [
@@ -156,13 +164,30 @@
         return [*resumed, *self.on_resume(now)]
 
     def confirm_effects(self, now: float) -> list[Effect]:
-        """Ask peers and the platform which epoch is in force."""
+        """Ask the platform and peers which epoch is in force.
+
+        Peers of other failure domains, which may be withdrawn by now, are asked only when neither
+        the platform nor the own domain answers.
+        """
         if not self.confirming or now < self.confirm_at:
             return []
         self.confirm_at = now + CONFIRM_RETRY_S
         request = ConfigurationRequest(self.epoch)
-        peers = [host.address for host in self.membership.neighbours(+1)] or list(self.seeds)
-        return [FetchConfiguration(), *(SendPeer(p, request) for p in peers[:CONFIRM_PEERS])]
+        widen = now - self.resumed_at > CONFIRM_WIDEN_S
+        peers = self.seeds if self.topology is None else self.confirming_peers(widen)
+        return [FetchConfiguration(), *(SendPeer(peer, request) for peer in peers)]
+
+    def confirming_peers(self, widen: bool) -> list[Address]:
+        """Return the peers to ask for the epoch in force."""
+        if widen:
+            return [host.address for host in self.membership.neighbours(+1)]
+        own = self.topology.hosts.get(self.host_name)
+        neighbours = [
+            host.address
+            for host in self.topology.ring
+            if own and host is not own and host.failure_domain == own.failure_domain
+        ]
+        return neighbours[:CONFIRM_PEERS]
 
     def confirmed(self) -> list[Effect]:
         """End the confirmation that followed a pause."""
@@ -176,6 +201,8 @@
         now = event.now
         effects = self.confirm_effects(now)
         self.paused_until_tick = False
+        if self.confirming:
+            return effects
         if self.topology is None:
             return effects + self.bootstrap(now)
         effects += self.membership.tick(now)
@@ -218,6 +245,9 @@
         if not self.configuration.accept(document):
             return []
         self.membership.use(self.topology, now)
+        self.withdrawn_since = {
+            domain: self.withdrawn_since.get(domain, now) for domain in self.topology.withdrawn
+        }
         return [
             Count("configurations_accepted"),
             LogChange("configuration", f"epoch {self.epoch}", "accepted"),
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -472,6 +472,14 @@
             if feed.service == service and key not in renewals and key not in self.pending:
                 self.renew_feed(feed, now)
 
+    def end_feeds(self, flow: FlowKey, now: float) -> list[Effect]:
+        """Tell a flow's caller that its feeds have ended."""
+        effects: list[Effect] = []
+        owned_tokens = [key for key in self.feeds if key[0] == flow]
+        for key in owned_tokens:
+            effects += self.refuse(self.feeds.pop(key), RefusalReason.FEED_ENDED, now)
+        return effects
+
     def forget(self, flows: set[FlowKey], now: float) -> list[Effect]:
         """End every request and feed of some flows without a word to their callers."""
         effects = self.reset(flows, RefusalReason.STOPPING, now)
@@ -482,9 +490,8 @@
         effects: list[Effect] = []
         for active in [row for row in self.pending.values() if row.flow in flows]:
             effects += self.reset_request(active, reason, now)
-        for key in [key for key in self.feeds if key[0] in flows]:
-            active = self.feeds.pop(key)
-            effects += self.refuse(active, RefusalReason.FEED_ENDED, now)
+        for flow in flows:
+            effects += self.end_feeds(flow, now)
         return effects
 
     def reset_request(
