--- a/src/heatheryoke/cli.py
+++ b/src/heatheryoke/cli.py
@@ -8,6 +8,7 @@
 import json
 import sys
 from enum import StrEnum
+from itertools import product
 from pathlib import Path
 from typing import Annotated
 
@@ -16,6 +17,7 @@
 from loguru import logger
 from returns.result import Failure
 from rich.console import Console
+from rich.progress import track
 from rich.table import Table
 
 from heatheryoke import __version__
@@ -31,6 +33,7 @@
 EXIT_FAILED = 1
 EXIT_UNUSABLE = 2
 STATUS_TIMEOUT_S = 5.0
+REPORTED_POLICIES = ("heatheryoke", "naive", "cache-only")
 
 app = typer.Typer(no_args_is_help=True, rich_markup_mode=None, help=__doc__)
 inventory_app = typer.Typer(no_args_is_help=True, help="Import, check and compare inventories.")
@@ -275,3 +278,57 @@
         _fail_unusable((f"unknown deployment {deployment!r}: {', '.join(DEPLOYMENTS)}",))
     logger.remove()
     raise typer.Exit(asyncio.run(run_demo(DEPLOYMENTS[deployment], seed, console)))
+
+
+@app.command()
+def measure(
+    scenario: Annotated[str, typer.Argument(help="A scenario, see --list.")] = "steady",
+    deployment: Annotated[str, typer.Option(help="sundarban or sangam.")] = "sundarban",
+    policy: Annotated[str, typer.Option(help="heatheryoke, naive or cache-only.")] = "heatheryoke",
+    seed: Annotated[int, typer.Option(help="The same seed gives the same figures.")] = 1,
+    as_json: AsJson = False,
+    everything: Annotated[bool, typer.Option("--all", help="Run every scenario.")] = False,
+    seeds: Annotated[int, typer.Option(help="With --all: how many seeds, from 1.")] = 2,
+    report: Annotated[Path | None, typer.Option(help="With --all: folder for the page.")] = None,
+    list_scenarios: Annotated[bool, typer.Option("--list", help="List the scenarios.")] = False,
+) -> None:
+    """Measure the reducers in virtual time.
+
+    Example: heatheryoke measure domain-leaves --deployment sangam --policy naive --json
+    """
+    from heatheryoke.measure.scenarios import SCENARIOS, run_scenario
+    from heatheryoke.measure.world import POLICIES
+    from heatheryoke.standins.deployments import DEPLOYMENTS
+
+    if list_scenarios:
+        for name, row in SCENARIOS.items():
+            console.print(f"{name:20}{row.title}", highlight=False)
+        return
+    if everything:
+        _measure_all(seeds, report)
+        return
+    for value, known in ((scenario, SCENARIOS), (deployment, DEPLOYMENTS), (policy, POLICIES)):
+        if value not in known:
+            _fail_unusable((f"{value!r} is none of {', '.join(known)}",))
+    figures = run_scenario(scenario, deployment, policy, seed)._asdict()
+    if as_json:
+        sys.stdout.write(json.dumps(figures, sort_keys=True) + "\n")
+        return
+    table = Table("figure", "value", title=f"{scenario}: {SCENARIOS[scenario].title}")
+    for name, value in figures.items():
+        table.add_row(name, "-" if value is None else str(value))
+    console.print(table)
+
+
+def _measure_all(seeds: int, report: Path | None) -> None:
+    from heatheryoke.measure.report import write_report
+    from heatheryoke.measure.scenarios import SCENARIOS, run_scenario
+    from heatheryoke.standins.deployments import DEPLOYMENTS
+
+    jobs = list(product(SCENARIOS, DEPLOYMENTS, REPORTED_POLICIES, range(1, seeds + 1)))
+    rows = [run_scenario(*job) for job in track(jobs, description="measuring", console=errors)]
+    if report is None:
+        for row in rows:
+            sys.stdout.write(json.dumps(row._asdict(), sort_keys=True) + "\n")
+        return
+    console.print(f"{write_report(rows, report)}")
--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -142,7 +142,9 @@
         self.history.use(self.topology, now)
         was_withdrawn, self.withdrawn = self.withdrawn, self.topology.is_withdrawn(self.host_name)
         if self.withdrawn:
-            return self.reset_flows(list(self.flows.flows.values()), now)
+            effects = self.reset_flows(list(self.flows.flows.values()), now)
+            self.registrar.clear()
+            return effects
         effects = self.drop_moved_services(now)
         if self.recovery.started is None:
             effects += self.recovery.begin(self.topology.peers_of(self.host_name), now)
@@ -165,7 +167,7 @@
         effects += self.expire_flows(now)
         self.directory.expire(now, EXPIRY_BATCH)
         self.renew(now)
-        effects += self.registrar.flush(self.topology, now)
+        effects += self.registrar.flush(self.flows, self.topology, now)
         effects += self.recovery.advance(now, self.history.is_complete(now))
         return effects + self.hand_over(now)
 
--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -62,19 +62,24 @@
     def register(self, row: Registration, now: float) -> Outcome:
         """Take an owner's word, unless another owner's stands before it."""
         held = self.entries.get(row.flow)
+        if row.closed:
+            return self.close(row, held)
         rival = held is not None and held.expires > now and held.registration.owner != row.owner
         if rival and not precedes(row, held.registration):
             return Outcome.LOST
         self.tentative.pop(row.flow, None)
-        if row.closed:
-            self.entries.pop(row.flow, None)
-            return Outcome.KEPT
         if held is None and not self.make_room(now):
             return Outcome.REFUSED
         self.entries[row.flow] = Entry(row, now + ENTRY_S, False)
         self.entries.move_to_end(row.flow)
         return Outcome.REPLACED if rival else Outcome.KEPT
 
+    def close(self, row: Registration, held: Entry | None) -> Outcome:
+        """Remove an entry whose own owner says that the flow is over."""
+        if held is not None and held.registration.owner == row.owner:
+            del self.entries[row.flow]
+        return Outcome.KEPT
+
     def make_room(self, now: float) -> bool:
         """Drop an idle entry if the table is full; tell whether there is room."""
         if len(self.entries) < self.maximum:
--- a/src/heatheryoke/core/membership.py
+++ b/src/heatheryoke/core/membership.py
@@ -243,7 +243,7 @@
         before = set(self.suspected_since)
         for host in before - suspected:
             del self.suspected_since[host]
-        for host in suspected - before:
+        for host in sorted(suspected - before):
             self.suspected_since[host] = now
         text = ",".join(f"{a.accuser}>{a.host}:{a.counter}" for a in sorted(standing))
         self.digest = xxhash.xxh32_intdigest(text.encode())
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -224,13 +224,18 @@
         """Note that a home has taken a batch."""
         self.unacknowledged.pop(batch, None)
 
-    def flush(self, topology: Topology, now: float) -> list[Effect]:
+    def clear(self) -> None:
+        """Forget what is queued, since every home drops this host's flows by itself."""
+        self.outbox.clear()
+        self.unacknowledged.clear()
+
+    def flush(self, flows: OwnedFlows, topology: Topology, now: float) -> list[Effect]:
         """Send what is queued, and again what was not acknowledged in time."""
         effects: list[Effect] = []
         for number, batch in list(self.unacknowledged.items()):
             if batch.resend_at <= now:
                 del self.unacknowledged[number]
-                effects += self.resend(batch, topology, now)
+                effects += self.resend(batch, flows, topology, now)
         for home, rows in self.outbox.items():
             entries = tuple(rows.values())
             for start in range(0, len(entries), BATCH_ENTRIES):
@@ -239,12 +244,20 @@
         self.outbox.clear()
         return effects
 
-    def resend(self, batch: Batch, topology: Topology, now: float) -> list[Effect]:
-        """Send a batch again, ever more slowly, until the bound."""
+    def resend(
+        self, batch: Batch, flows: OwnedFlows, topology: Topology, now: float
+    ) -> list[Effect]:
+        """Send a batch again as it is now, ever more slowly, until the bound."""
         if batch.resends >= MAXIMUM_RESENDS:
             return [Count("registrations_given_up", len(batch.entries))]
         delay = RESEND_S * 2 ** min(batch.resends + 1, 4)
-        again = batch._replace(resend_at=now + delay, resends=batch.resends + 1)
+        owned = flows.flows
+        entries = tuple(
+            owned[row.flow].registration(self.host_name) if row.flow in owned else row
+            for row in batch.entries
+            if row.closed or row.flow in owned
+        )
+        again = batch._replace(entries=entries, resend_at=now + delay, resends=batch.resends + 1)
         return [Count("registrations_resent"), *self.send(again, topology)]
 
     def send(self, batch: Batch, topology: Topology) -> list[Effect]:
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -490,7 +490,7 @@
         effects: list[Effect] = []
         for active in [row for row in self.pending.values() if row.flow in flows]:
             effects += self.reset_request(active, reason, now)
-        for flow in flows:
+        for flow in sorted(flows):
             effects += self.end_feeds(flow, now)
         return effects
 
--- a/src/heatheryoke/measure/caller_model.py
+++ b/src/heatheryoke/measure/caller_model.py
@@ -91,6 +91,8 @@
         self.open: dict[bytes, Open] = {}
         self.feed_token = b""
         self.feed_upstream = ""
+        self.served_by = ""
+        self.is_given_up: Callable[[str], bool] = lambda upstream: False
         self.last_news = 0.0
         self.feed_breaks = 0
         self.feed_resets = 0
@@ -244,20 +246,36 @@
         """Take news, or the end of the feed."""
         self.open.pop(message.token, None)
         if message.phase != ANSWER:
-            ended = self.feed_upstream != ""
-            self.feed_resets += ended
+            if self.feed_upstream:
+                self.end_feed()
             self.feed_token = b""
             self.scheduler.after(message.number * self.random.random(), self.open_feed)
             return
         upstream = message.text.rpartition(b"|")[2].decode()
-        if self.feed_upstream and upstream != self.feed_upstream:
-            self.feed_breaks += 1
         self.feed_upstream = upstream
         self.last_news = self.scheduler.now
 
+    def end_feed(self) -> None:
+        """Count a feed that was ended openly: allowed only where its domain is withdrawn."""
+        if self.is_given_up(self.feed_upstream):
+            self.feed_resets += 1
+        else:
+            self.feed_breaks += 1
+        self.served_by = ""
+
+    def note_delivery(self, flow: FlowKey, upstream: str) -> None:
+        """Note which upstream got a packet of this caller's flow; a flow that moves is broken."""
+        if not self.traits.feed_path or flow != self.flow:
+            return
+        moved = self.served_by and self.served_by != upstream
+        if moved and not self.is_given_up(self.served_by):
+            self.feed_breaks += 1
+        self.served_by = upstream
+
     def break_feed(self) -> None:
         """Count a broken feed and open it again from a new socket."""
         self.feed_breaks += 1
+        self.served_by = ""
         self.port += 1
         self.open_feed()
 
--- a/src/heatheryoke/measure/process_model.py
+++ b/src/heatheryoke/measure/process_model.py
@@ -1,7 +1,7 @@
 """One process of the system in virtual time: a reducer, its port, its life and its pauses."""
 
 from collections.abc import Callable
-from itertools import count
+from itertools import cycle
 from typing import Any, Protocol
 
 from heatheryoke.core.agent import Agent
@@ -39,6 +39,7 @@
 
 UPSTREAM_GONE_S = 0.0002
 FIRST_PORT = 20_000
+LAST_PORT = 65_536
 
 
 class Surroundings(Protocol):
@@ -55,6 +56,9 @@
     def answer_caller(self, source: str, flow: FlowKey, payload: bytes) -> None:
         """Carry an answer to a caller."""
 
+    def note_delivery(self, flow: FlowKey, host: str) -> None:
+        """Note that a host's upstream gets a packet of a flow."""
+
     def read_platform(self, process: "ProcessModel") -> None:
         """Answer a read of the platform."""
 
@@ -65,8 +69,6 @@
 class ProcessModel:
     """Feeds a reducer with events and carries out its effects."""
 
-    ports = count(FIRST_PORT)
-
     def __init__(
         self, name: str, address: Address, node: Node, scheduler: Scheduler, world: Surroundings
     ):
@@ -85,6 +87,7 @@
         self.changes: list[tuple[float, LogChange]] = []
         self.hops: list[int] = []
         self.is_stopped = False
+        self.ports = cycle(range(FIRST_PORT, LAST_PORT))
         self.handlers: dict[type, Callable[[Any], None]] = {
             SendForward: self.send_forward,
             SendPeer: self.send_peer,
@@ -178,18 +181,23 @@
         """Bind a flow's local port."""
         upstream = self.world.upstream_of(self.name, effect.upstream)
         wanted = effect.local_port
-        port = wanted if wanted and wanted not in self.flows_by_port else next(self.ports)
+        port = wanted if wanted and wanted not in self.flows_by_port else self.free_port()
         self.local_ports[effect.flow] = port
         self.flows_by_port[port] = effect.flow
         self.upstreams[effect.flow] = upstream
         self.step(FlowBound(self.scheduler.now, effect.flow, port))
 
+    def free_port(self) -> int:
+        """Return a local port that no flow holds."""
+        return next(port for port in self.ports if port not in self.flows_by_port)
+
     def deliver(self, effect: Deliver) -> None:
         """Hand a datagram to the upstream."""
         upstream = self.upstreams.get(effect.flow)
         port = self.local_ports.get(effect.flow)
         if upstream is None or port is None:
             return
+        self.world.note_delivery(effect.flow, self.name)
         if upstream.is_up:
             upstream.receive(port, effect.payload)
         else:
--- a/src/heatheryoke/measure/world.py
+++ b/src/heatheryoke/measure/world.py
@@ -148,6 +148,7 @@
             caller = CallerModel(
                 number, traits, self.scheduler, self.tally, self.from_caller, self.random
             )
+            caller.is_given_up = self.is_given_up
             self.callers[flow_tuple(caller.flow).source.ip] = caller
             self.scheduler.after(2.0 + self.random.random() * 3.0, caller.start)
 
@@ -237,6 +238,14 @@
         hop = CALLER_HOP_S[self.deployment.name]
         self.scheduler.after(hop, lambda: self.network.send(FABRIC, name, deliver))
 
+    def note_delivery(self, flow: FlowKey, host: str) -> None:
+        """Tell a caller's model which upstream gets its packets."""
+        self.callers[flow_tuple(flow).source.ip].note_delivery(flow, host)
+
+    def is_given_up(self, host: str) -> bool:
+        """Tell whether flows at a host may be given up: its failure domain is withdrawn."""
+        return self.is_withdrawn(self.network.domains[host])
+
     def upstream_of(self, host: str, address: Address) -> UpstreamModel | None:
         """Return the upstream at an address."""
         return self.upstreams.get(host)
