Count only a host's present watchers when it is accused

Cause: when a failure domain is withdrawn or returns, watchers change; those that were no longer watchers got no heartbeat, so never took their word back, and an owner that had woken up 2 s before was given up. Ruled out: lost retractions (digests repair them within a heartbeat), slow confirmation (5 ms). Change: an accusation counts only while its author watches the host.

--- a/src/heatheryoke/core/membership.py
+++ b/src/heatheryoke/core/membership.py
@@ -230,10 +230,19 @@
             Accusations(0, tuple(rows[start : start + step])) for start in range(0, len(rows), step)
         ]
 
+    def is_watcher(self, watcher: str, host: str) -> bool:
+        """Tell whether a host watches another now; only then could it take its word back."""
+        segment = self.topology.segment_of(host) if self.topology else None
+        if segment is None or watcher not in segment.positions:
+            return False
+        distance = segment.positions[watcher] - segment.positions[host]
+        return distance % len(segment.hosts) in watch_offsets(len(segment.hosts))
+
     def refresh(self, now: float) -> list[Effect]:
         """Recompute who is suspected, and the digest that heartbeats carry."""
         accusers: dict[str, int] = {}
-        standing = [row for row in self.accusations.values() if row.suspected]
+        accused = [row for row in self.accusations.values() if row.suspected]
+        standing = [row for row in accused if self.is_watcher(row.accuser, row.host)]
         for row in standing:
             accusers[row.host] = accusers.get(row.host, 0) + 1
         segment = self.segment()
