--- a/src/heatheryoke/inventory/checks.py
+++ b/src/heatheryoke/inventory/checks.py
@@ -128,7 +128,7 @@
     hosted: dict[str, set[str]] = {}
     for row in document.endpoints:
         hosted.setdefault(row.host, set()).add(row.service)
-    for service in document.services:
+    for service in filter(lambda row: row.apart_from, document.services):
         for host, present in hosted.items():
             shared = present.intersection(service.apart_from)
             if service.name in present and shared:
