Cut the flow key from the PROXY header; check addresses in C

Cause: a profile of forwarding showed four address conversions and two address objects a packet. Change: the key is sliced from the header, and the service is found by its part of the key.

--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -33,12 +33,10 @@
     keys = [flow_of(number, service.address) for number in range(NEW_FLOWS)]
     began = time.perf_counter()
     for key in keys:
-        balancer.reduce(CallerPacket(NOW, key, service.address, PacketKind.EITHER, payload))
+        balancer.reduce(CallerPacket(NOW, key, PacketKind.EITHER, payload))
     balancer_s = time.perf_counter() - began
     forwards = [
-        balancer.reduce(CallerPacket(NOW, key, service.address, PacketKind.EITHER, payload))[
-            0
-        ].message
+        balancer.reduce(CallerPacket(NOW, key, PacketKind.EITHER, payload))[0].message
         for key in keys
     ]
     began = time.perf_counter()
--- a/benchmarks/steps.py
+++ b/benchmarks/steps.py
@@ -73,7 +73,7 @@
     main_service = document.services[0]
     flow = flow_key(FlowTuple(UDP, Address("192.0.2.1", 4_000), main_service.address))
     payload = PlainMessage(REQUEST, RequestKind.CONTROL, 1, "", b"", text=b"x" * 190).encode()
-    packet = CallerPacket(NOW, flow, main_service.address, PacketKind.EITHER, payload)
+    packet = CallerPacket(NOW, flow, PacketKind.EITHER, payload)
     report(
         "step", event="caller's packet, no hint", us=per_call_us(lambda: balancer.reduce(packet))
     )
--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -22,7 +22,7 @@
     UpstreamGone,
     UpstreamPacket,
 )
-from heatheryoke.core.flows import FlowKey, PacketKind, describe_flow, flow_tuple
+from heatheryoke.core.flows import FlowKey, PacketKind, describe_flow, service_part
 from heatheryoke.core.handover import Handover, HandoverLog
 from heatheryoke.core.history import TopologyHistory
 from heatheryoke.core.messages import (
@@ -206,7 +206,7 @@
             return [*effects, Count("dropped_unconfirmed")]
         message = event.message
         service = self.topology.service_ids.get(message.service_id)
-        if service is None or flow_tuple(message.flow).service != service.address:
+        if service is None or self.topology.service_of(message.flow) is not service:
             return [*effects, Count("dropped_wrong_service")]
         if self.withdrawn:
             return [*effects, Count("dropped_withdrawn")]
@@ -464,7 +464,7 @@
             owned
             for owned in self.flows.flows.values()
             if (owned.service, self.host_name) not in self.topology.endpoints
-            or flow_tuple(owned.flow).service != self.topology.services[owned.service].address
+            or service_part(owned.flow) != self.topology.service_keys[owned.service]
         ]
         return self.reset_flows(moved, now)
 
@@ -570,7 +570,7 @@
         """Tell whether a host owns a flow, or is one of its homes."""
         if row.owner == host_name:
             return True
-        service = self.topology.service_at(flow_tuple(row.flow).service)
+        service = self.topology.service_of(row.flow)
         return service is not None and host_name in self.home_names(row.flow, service)
 
     def on_recovery_reply(self, event: PeerMessageArrived) -> list[Effect]:
@@ -626,7 +626,7 @@
             return []
         if row.flow in self.flows.flows:
             return []
-        service = self.topology.service_at(flow_tuple(row.flow).service)
+        service = self.topology.service_of(row.flow)
         endpoint = service and self.topology.endpoints.get((service.name, self.host_name))
         if not endpoint:
             return []
--- a/src/heatheryoke/core/balancer.py
+++ b/src/heatheryoke/core/balancer.py
@@ -39,7 +39,7 @@
         """Send a caller's packet towards its owner."""
         if self.is_muted():
             return [Count("dropped_unconfirmed")]
-        service = self.topology.service_at(event.service_address)
+        service = self.topology.service_of(event.flow)
         if service is None:
             return [Count("dropped_unknown_service")]
         host = self.next_host(event.flow, service)
--- a/src/heatheryoke/core/events.py
+++ b/src/heatheryoke/core/events.py
@@ -26,7 +26,6 @@
 
     now: float
     flow: FlowKey
-    service_address: Address
     kind: PacketKind
     payload: bytes
 
--- a/src/heatheryoke/core/flows.py
+++ b/src/heatheryoke/core/flows.py
@@ -8,9 +8,11 @@
 from heatheryoke.inventory.document import Address
 
 __all__ = ["UDP", "FlowKey", "FlowTuple", "PacketKind", "describe_flow", "flow_key", "flow_tuple"]
+__all__ += ["service_key", "service_part"]
 
 UDP = 17
 FLOW_FORMAT = struct.Struct("!B4sH4sH")
+SERVICE_OFFSET = 7
 
 FlowKey = bytes
 
@@ -43,6 +45,16 @@
     )
 
 
+def service_key(service: Address) -> bytes:
+    """Return the part of a flow key that names the service's address."""
+    return socket.inet_aton(service.ip) + service.port.to_bytes(2, "big")
+
+
+def service_part(key: FlowKey) -> bytes:
+    """Return the service key within a flow key."""
+    return key[SERVICE_OFFSET:]
+
+
 def flow_tuple(key: FlowKey) -> FlowTuple:
     """Unpack a key made by `flow_key`."""
     protocol, source_ip, source_port, service_ip, service_port = FLOW_FORMAT.unpack(key)
--- a/src/heatheryoke/core/topology.py
+++ b/src/heatheryoke/core/topology.py
@@ -5,10 +5,9 @@
 
 import xxhash
 
-from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.flows import FlowKey, service_key, service_part
 from heatheryoke.inventory.checks import short_id
 from heatheryoke.inventory.document import (
-    Address,
     Document,
     Endpoint,
     Host,
@@ -88,7 +87,12 @@
         self.withdrawn = {row.name for row in document.failure_domains if row.withdrawn}
         self.services = {service.name: service for service in document.services}
         self.service_ids = {short_id(service.name): service for service in document.services}
-        self.services_by_address = {service.address: service for service in document.services}
+        self.services_by_key = {
+            service_key(service.address): service for service in document.services
+        }
+        self.service_keys = {
+            service.name: service_key(service.address) for service in document.services
+        }
         self.endpoints: dict[tuple[str, str], Endpoint] = {}
         self.endpoints_of_service: dict[str, list[Endpoint]] = {}
         self.services_of_host: dict[str, list[str]] = {}
@@ -119,9 +123,9 @@
             self.views[service_name] = found
         return found
 
-    def service_at(self, address: Address) -> Service | None:
-        """Return the service that callers reach at `address`."""
-        return self.services_by_address.get(address)
+    def service_of(self, flow: FlowKey) -> Service | None:
+        """Return the service that a flow's address belongs to."""
+        return self.services_by_key.get(service_part(flow))
 
     def peers_of(self, host_name: str) -> list[Host]:
         """Return the other agents that share a service with a host, withdrawn ones left out."""
--- a/src/heatheryoke/daemons/application.py
+++ b/src/heatheryoke/daemons/application.py
@@ -42,7 +42,7 @@
     UpstreamGone,
     UpstreamPacket,
 )
-from heatheryoke.core.flows import FlowKey, PacketKind, flow_key, flow_tuple
+from heatheryoke.core.flows import FlowKey, PacketKind, flow_tuple
 from heatheryoke.core.node import TICK_S, Node
 from heatheryoke.daemons.datagrams import RECEIVE_BUFFER_BYTES, DatagramPort
 from heatheryoke.daemons.metrics import Metrics
@@ -54,7 +54,7 @@
 from heatheryoke.wire.control import decode_control, encode_control
 from heatheryoke.wire.envelope import BadEnvelope, EnvelopeCodec, EnvelopeKind
 from heatheryoke.wire.forward import decode_forward, encode_forward
-from heatheryoke.wire.proxy_header import decode_proxied, encode_proxied
+from heatheryoke.wire.proxy_header import encode_proxied, split_proxied
 
 __all__ = ["AgentApplication", "Application", "BalancerApplication"]
 
@@ -268,16 +268,12 @@
 
     def on_fabric_datagram(self, data: bytes, sender: Address) -> None:
         """Take a caller's datagram from the fabric."""
-        proxied = decode_proxied(data)
-        if proxied is None:
+        split = split_proxied(data)
+        if split is None:
             self.metrics.count("bad_datagrams_proxy_header", 1)
             return
-        flow = proxied.flow
-        self.packets.on_next(
-            CallerPacket(
-                self.clock(), flow_key(flow), flow.service, PacketKind.EITHER, proxied.payload
-            )
-        )
+        flow, payload = split
+        self.packets.on_next(CallerPacket(self.clock(), flow, PacketKind.EITHER, payload))
 
 
 class AgentApplication(Application):
--- a/src/heatheryoke/daemons/status.py
+++ b/src/heatheryoke/daemons/status.py
@@ -107,7 +107,7 @@
 
 def explain_flow(node: Node, key: bytes, now: float) -> FlowExplanation:
     """Return what a process knows of a flow, and where it would send it."""
-    service = node.topology.service_at(flow_tuple(key).service) if node.topology else None
+    service = node.topology.service_of(key) if node.topology else None
     homes = node.topology.view(service.name).homes(key) if service else []
     owner, known_as = _owner(node, key, now)
     return FlowExplanation(
--- a/src/heatheryoke/inventory/checks.py
+++ b/src/heatheryoke/inventory/checks.py
@@ -1,6 +1,6 @@
 """Checks that a document can hold before it is published or taken into force."""
 
-import ipaddress
+import socket
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
@@ -96,8 +96,8 @@
     ]
     for table, name, address in rows:
         try:
-            ipaddress.IPv4Address(address.ip)
-        except ValueError:
+            socket.inet_pton(socket.AF_INET, address.ip)
+        except OSError:
             yield Problem(table, name, f"{address.ip!r} is not an IPv4 address")
         if not 0 < address.port < 65_536:
             yield Problem(table, name, f"port {address.port} is not between 1 and 65535")
--- a/src/heatheryoke/measure/caller_model.py
+++ b/src/heatheryoke/measure/caller_model.py
@@ -77,7 +77,7 @@
         traits: CallerTraits,
         scheduler: Scheduler,
         tally: Tally,
-        send: Callable[[FlowKey, Address, bytes], None],
+        send: Callable[[FlowKey, bytes], None],
         random,
     ):
         self.number = number
@@ -165,7 +165,7 @@
             self.give_up(token, current)
             return
         message_id = current.message.message_id
-        self.transmit(current.flow, self.traits.service.address, current.message.encode())
+        self.transmit(current.flow, current.message.encode())
         current.sent += 1
         timeout = current.timeout_s * (1 + self.random.random() / 2)
         current.timeout_s *= 2
--- a/src/heatheryoke/measure/world.py
+++ b/src/heatheryoke/measure/world.py
@@ -224,7 +224,7 @@
 
         self.network.send(source, FABRIC, deliver)
 
-    def from_caller(self, flow: FlowKey, service: Address, payload: bytes) -> None:
+    def from_caller(self, flow: FlowKey, payload: bytes) -> None:
         """Spray a caller's datagram over the balancers."""
         if not self.fabric_balancers:
             return
@@ -232,7 +232,7 @@
 
         def deliver() -> None:
             self.processes[name].take(
-                lambda now: CallerPacket(now, flow, service, PacketKind.EITHER, payload)
+                lambda now: CallerPacket(now, flow, PacketKind.EITHER, payload)
             )
 
         hop = CALLER_HOP_S[self.deployment.name]
--- a/src/heatheryoke/wire/proxy_header.py
+++ b/src/heatheryoke/wire/proxy_header.py
@@ -7,15 +7,18 @@
 import struct
 from typing import NamedTuple
 
-from heatheryoke.core.flows import UDP, FlowTuple
+from heatheryoke.core.flows import UDP, FlowKey, FlowTuple, flow_key
 from heatheryoke.inventory.document import Address
 
-__all__ = ["Proxied", "decode_proxied", "encode_proxied"]
+__all__ = ["Proxied", "decode_proxied", "encode_proxied", "split_proxied"]
 
 SIGNATURE = b"\r\n\r\n\x00\r\nQUIT\n"
 VERSION_AND_PROXY = 0x21
 IPV4_DATAGRAM = 0x12
 IPV4_BYTES = 12
+PREFIX = SIGNATURE + bytes((VERSION_AND_PROXY, IPV4_DATAGRAM)) + IPV4_BYTES.to_bytes(2, "big")
+UDP_BYTE = bytes((UDP,))
+NO_PORT = bytes(2)
 HEADER = struct.Struct("!12sBBH4s4sHH")
 
 
@@ -41,6 +44,26 @@
     return header + payload
 
 
+def split_proxied(data: bytes) -> tuple[FlowKey, bytes] | None:
+    """Return the flow key and the datagram; None if the header is not as it must be.
+
+    The key is cut from the header as it stands, for the hot path.
+    """
+    if data[:16] != PREFIX or len(data) < HEADER.size:
+        return _split_longer(data)
+    ports = data[24:28]
+    if ports[:2] == NO_PORT or ports[2:] == NO_PORT:
+        return None
+    key = UDP_BYTE + data[16:20] + ports[:2] + data[20:24] + ports[2:]
+    return key, data[HEADER.size :]
+
+
+def _split_longer(data: bytes) -> tuple[FlowKey, bytes] | None:
+    """Split a datagram whose header may carry more than the addresses."""
+    proxied = decode_proxied(data)
+    return (flow_key(proxied.flow), proxied.payload) if proxied else None
+
+
 def decode_proxied(data: bytes) -> Proxied | None:
     """Split a datagram from its header; None if the header is not as it must be."""
     if len(data) < HEADER.size:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -34,7 +34,7 @@
     ReplayWindow,
 )
 from heatheryoke.wire.forward import decode_forward, encode_forward
-from heatheryoke.wire.proxy_header import Proxied, decode_proxied, encode_proxied
+from heatheryoke.wire.proxy_header import Proxied, decode_proxied, encode_proxied, split_proxied
 
 KEY = b"k" * 32
 FLOW = FlowTuple(UDP, Address("192.0.2.1", 4001), Address("198.51.100.1", 5683))
@@ -151,6 +151,15 @@
     @given(st.binary(max_size=60))
     def test_random_bytes_are_refused(self, data):
         assert decode_proxied(data) is None
+        assert split_proxied(data) is None
+
+    @given(addresses, addresses, st.binary(max_size=20), st.binary(max_size=9))
+    def test_splits_as_it_decodes(self, source, service, payload, extra):
+        flow = FlowTuple(UDP, source, service)
+        assert split_proxied(encode_proxied(flow, payload)) == (flow_key(flow), payload)
+        plain = encode_proxied(flow, b"")
+        longer = plain[:14] + (12 + len(extra)).to_bytes(2, "big") + plain[16:] + extra + payload
+        assert split_proxied(longer) == (flow_key(flow), payload)
 
     @given(addresses, addresses)
     def test_flow_key_round_trip(self, source, service):
