Hand batches of events through the merged stream

Cause: a profile showed reactivex's merge taking about 3 us a packet, once for each datagram. Ruled out: leaving it out of the packets' path, which the house style asks for. Change: sources pass on what one wake-up of a socket gave, as one list.

--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -6,9 +6,9 @@
 import time
 
 from benchmarks.common import report
-from heatheryoke.core.events import ConfigurationOffered
 from heatheryoke.core.flows import UDP, FlowTuple
 from heatheryoke.daemons.application import BalancerApplication
+from heatheryoke.daemons.datagrams import Datagram
 from heatheryoke.inventory.document import Address
 from heatheryoke.standins.deployments import DEPLOYMENTS
 from heatheryoke.standins.site import Site, free_address
@@ -66,9 +66,7 @@
     hosts = tuple(
         row if row == host else row._replace(address=target) for row in site.document.hosts
     )
-    app.configurations.on_next(
-        ConfigurationOffered(app.clock(), site.document._replace(hosts=hosts))
-    )
+    app.on_document(site.document._replace(hosts=hosts))
     service = site.service_address("fitters")
     flows = [
         FlowTuple(UDP, Address("192.0.2.1", 1_024 + n % 5_000), service) for n in range(DATAGRAMS)
@@ -81,9 +79,9 @@
     taken = {"count": 0}
     receive = app.fabric.receive
 
-    def counting(data: bytes, sender: Address) -> None:
-        taken["count"] += 1
-        receive(data, sender)
+    def counting(batch: list[Datagram]) -> None:
+        receive(batch)
+        taken["count"] += len(batch)
 
     app.fabric.receive = counting
     ratios = []
--- a/src/heatheryoke/daemons/application.py
+++ b/src/heatheryoke/daemons/application.py
@@ -44,7 +44,7 @@
 )
 from heatheryoke.core.flows import FlowKey, PacketKind, flow_tuple
 from heatheryoke.core.node import TICK_S, Node
-from heatheryoke.daemons.datagrams import RECEIVE_BUFFER_BYTES, DatagramPort
+from heatheryoke.daemons.datagrams import RECEIVE_BUFFER_BYTES, Datagram, DatagramPort
 from heatheryoke.daemons.metrics import Metrics
 from heatheryoke.daemons.platform_client import PlatformClient
 from heatheryoke.daemons.settings import Settings
@@ -65,7 +65,8 @@
 class Application(ABC):
     """Owns a reducer's sockets and clients from `start` to `close`.
 
-    Sources feed three subjects, which are merged into the reducer's one stream of events.
+    Sources feed three subjects with batches of events, which are merged into the reducer's one
+    stream.
     """
 
     def __init__(self, settings: Settings, clock: Callable[[], float] = time.monotonic):
@@ -75,9 +76,9 @@
         self.node = self.make_node()
         self.metrics = Metrics(self.node)
         self.envelopes = EnvelopeCodec(settings.shared_key, secrets.randbits(64))
-        self.packets: Subject[Event] = Subject()
-        self.timers: Subject[Event] = Subject()
-        self.configurations: Subject[Event] = Subject()
+        self.packets: Subject[list[Event]] = Subject()
+        self.timers: Subject[list[Event]] = Subject()
+        self.configurations: Subject[list[Event]] = Subject()
         self.control: DatagramPort | None = None
         self.status = StatusServer(self.node, self.metrics, clock)
         self.platform = PlatformClient(
@@ -116,7 +117,7 @@
         merged = reactivex.merge(self.packets, self.timers, self.configurations)
         merged.subscribe(self.step)
         self.control = DatagramPort(
-            loop, self.settings.address, self.on_datagram, buffer_bytes=RECEIVE_BUFFER_BYTES
+            loop, self.settings.address, self.on_datagrams, buffer_bytes=RECEIVE_BUFFER_BYTES
         )
         await self.status.start(self.settings.status_address)
         self.platform.start()
@@ -125,7 +126,7 @@
 
     def request_stop(self) -> None:
         """Begin a graceful stop; `stopped` is set at its end."""
-        self.timers.on_next(StopRequested(self.clock()))
+        self.timers.on_next([StopRequested(self.clock())])
 
     async def close(self) -> None:
         """Close everything at once."""
@@ -158,47 +159,49 @@
 
     # Events in
 
-    def step(self, event: Event) -> None:
-        """Reduce one event and carry out its effects; a fault ends the event, not the process."""
+    def step(self, events: list[Event]) -> None:
+        """Reduce events and carry out their effects; a fault ends its event, not the process."""
         handlers = self.effect_handlers
-        try:
-            for effect in self.node.reduce(event):
-                handlers[type(effect)](effect)
-        except Exception:
-            self.metrics.count(FAULT_COUNTER, 1)
-            logger.exception("{}: fault in {}", self.settings.name, type(event).__name__)
+        for event in events:
+            try:
+                for effect in self.node.reduce(event):
+                    handlers[type(effect)](effect)
+            except Exception:
+                self.metrics.count(FAULT_COUNTER, 1)
+                logger.exception("{}: fault in {}", self.settings.name, type(event).__name__)
 
     def tick(self) -> None:
         """Send a tick and plan the next."""
         self.ticker = asyncio.get_running_loop().call_later(TICK_S, self.tick)
-        self.timers.on_next(Tick(self.clock()))
+        self.timers.on_next([Tick(self.clock())])
 
     def on_document(self, document: Document) -> None:
         """Take a document from the platform."""
-        self.configurations.on_next(ConfigurationOffered(self.clock(), document))
+        self.configurations.on_next([ConfigurationOffered(self.clock(), document)])
 
     def on_platform_unavailable(self) -> None:
         """Note a failed read of the platform."""
-        self.configurations.on_next(PlatformUnavailable(self.clock()))
+        self.configurations.on_next([PlatformUnavailable(self.clock())])
+
+    def on_datagrams(self, batch: list[Datagram]) -> None:
+        """Take datagrams from other processes."""
+        now = self.clock()
+        events = [self.read_datagram(data, sender, now) for data, sender in batch]
+        self.packets.on_next([event for event in events if event is not None])
 
-    def on_datagram(self, data: bytes, sender: Address) -> None:
-        """Take a datagram from another process; a bad one is counted and dropped."""
+    def read_datagram(self, data: bytes, sender: Address, now: float) -> Event | None:
+        """Return the event in a datagram; a bad one is counted and dropped."""
         envelope = self.envelopes.open(data)
         if isinstance(envelope, BadEnvelope):
             self.metrics.count(f"bad_datagrams_{envelope.value}", 1)
-            return
-        if envelope.kind is EnvelopeKind.FORWARD:
-            forward = decode_forward(envelope.body)
-            if forward is None:
-                self.metrics.count("bad_datagrams_malformed", 1)
-                return
-            self.packets.on_next(ForwardArrived(self.clock(), sender, envelope.epoch, forward))
-            return
-        message = decode_control(envelope.body)
+            return None
+        is_forward = envelope.kind is EnvelopeKind.FORWARD
+        message = decode_forward(envelope.body) if is_forward else decode_control(envelope.body)
         if message is None:
             self.metrics.count("bad_datagrams_malformed", 1)
-            return
-        self.packets.on_next(PeerMessageArrived(self.clock(), sender, envelope.epoch, message))
+            return None
+        arrived = ForwardArrived if is_forward else PeerMessageArrived
+        return arrived(now, sender, envelope.epoch, message)
 
     # Effects out
 
@@ -262,18 +265,21 @@
         self.fabric = DatagramPort(
             asyncio.get_running_loop(),
             self.settings.fabric_listen,
-            self.on_fabric_datagram,
+            self.on_fabric_datagrams,
             buffer_bytes=RECEIVE_BUFFER_BYTES,
         )
 
-    def on_fabric_datagram(self, data: bytes, sender: Address) -> None:
-        """Take a caller's datagram from the fabric."""
-        split = split_proxied(data)
-        if split is None:
-            self.metrics.count("bad_datagrams_proxy_header", 1)
-            return
-        flow, payload = split
-        self.packets.on_next(CallerPacket(self.clock(), flow, PacketKind.EITHER, payload))
+    def on_fabric_datagrams(self, batch: list[Datagram]) -> None:
+        """Take callers' datagrams from the fabric."""
+        now = self.clock()
+        events: list[Event] = []
+        for data, _ in batch:
+            split = split_proxied(data)
+            if split is None:
+                self.metrics.count("bad_datagrams_proxy_header", 1)
+                continue
+            events.append(CallerPacket(now, split[0], PacketKind.EITHER, split[1]))
+        self.packets.on_next(events)
 
 
 class AgentApplication(Application):
@@ -314,7 +320,7 @@
         self.egress = DatagramPort(
             asyncio.get_running_loop(),
             Address(self.settings.address.ip, 0),
-            lambda data, sender: None,
+            lambda batch: None,
         )
         await super().start()
 
@@ -327,7 +333,7 @@
                 self.metrics.count("local_ports_taken", 1)
                 continue
             self.flow_ports[effect.flow] = bound
-            self.packets.on_next(FlowBound(self.clock(), effect.flow, bound.address.port))
+            self.packets.on_next([FlowBound(self.clock(), effect.flow, bound.address.port)])
             return
 
     def open_flow_port(self, effect: BindFlow, port: int) -> DatagramPort:
@@ -336,14 +342,15 @@
         return DatagramPort(
             asyncio.get_running_loop(),
             Address(self.settings.upstream_bind, port),
-            lambda data, sender: self.on_upstream_datagram(flow, data),
+            lambda batch: self.on_upstream_datagrams(flow, batch),
             connect=effect.upstream,
-            refused=lambda: self.packets.on_next(UpstreamGone(self.clock(), flow)),
+            refused=lambda: self.packets.on_next([UpstreamGone(self.clock(), flow)]),
         )
 
-    def on_upstream_datagram(self, flow: FlowKey, data: bytes) -> None:
-        """Take a datagram that the upstream sent to a flow's port."""
-        self.packets.on_next(UpstreamPacket(self.clock(), flow, data))
+    def on_upstream_datagrams(self, flow: FlowKey, batch: list[Datagram]) -> None:
+        """Take datagrams that the upstream sent to a flow's port."""
+        now = self.clock()
+        self.packets.on_next([UpstreamPacket(now, flow, data) for data, _ in batch])
 
     def deliver(self, effect: Deliver) -> None:
         """Hand a datagram to the upstream."""
--- a/src/heatheryoke/daemons/datagrams.py
+++ b/src/heatheryoke/daemons/datagrams.py
@@ -6,17 +6,18 @@
 
 from heatheryoke.inventory.document import Address
 
-__all__ = ["DatagramPort"]
+__all__ = ["Datagram", "DatagramPort"]
 
 BATCH = 64
 MAXIMUM_DATAGRAM = 65_535
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
-Receiver = Callable[[bytes, Address], None]
+Datagram = tuple[bytes, Address]
+Receiver = Callable[[list[Datagram]], None]
 
 
 class DatagramPort:
-    """One UDP socket; `receive` is called for each datagram, `refused` when no peer listens."""
+    """One UDP socket; `receive` gets what has arrived, `refused` is called when no peer listens."""
 
     def __init__(
         self,
@@ -69,17 +70,21 @@
 
     def read_batch(self) -> None:
         """Read what waits, up to a batch, so that timers are served in between."""
+        batch: list[Datagram] = []
+        refused = False
         for _ in range(BATCH):
             try:
                 data, sender = self.socket.recvfrom(MAXIMUM_DATAGRAM)
             except ConnectionRefusedError:
-                self.notify_refused()
+                refused = True
                 continue
             except OSError:
-                return
-            self.receive(data, Address(*sender))
-            if self.socket.fileno() < 0:
-                return
+                break
+            batch.append((data, Address(*sender)))
+        if batch:
+            self.receive(batch)
+        if refused:
+            self.notify_refused()
 
     def discard_queued(self) -> int:
         """Drop every datagram that waits; return how many there were."""
--- a/src/heatheryoke/standins/fabric.py
+++ b/src/heatheryoke/standins/fabric.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from heatheryoke.core.flows import UDP, FlowTuple
-from heatheryoke.daemons.datagrams import RECEIVE_BUFFER_BYTES, DatagramPort
+from heatheryoke.daemons.datagrams import RECEIVE_BUFFER_BYTES, Datagram, DatagramPort
 from heatheryoke.inventory.document import Address
 from heatheryoke.wire.proxy_header import decode_proxied, encode_proxied
 
@@ -36,7 +36,7 @@
         """Open the service addresses and the address that takes answers."""
         loop = asyncio.get_running_loop()
         size = RECEIVE_BUFFER_BYTES
-        self.egress = DatagramPort(loop, egress, self.on_answer, buffer_bytes=size)
+        self.egress = DatagramPort(loop, egress, self.on_answers, buffer_bytes=size)
         for service in services:
             port = DatagramPort(loop, service, self.receiver(service), buffer_bytes=size)
             self.services[service] = port
@@ -51,8 +51,9 @@
     def receiver(self, service: Address):
         """Return what takes the callers' datagrams for a service address."""
 
-        def receive(data: bytes, caller: Address) -> None:
-            self.spray(encode_proxied(FlowTuple(UDP, caller, service), data))
+        def receive(batch: list[Datagram]) -> None:
+            for data, caller in batch:
+                self.spray(encode_proxied(FlowTuple(UDP, caller, service), data))
 
         return receive
 
@@ -74,7 +75,12 @@
         if self.balancers and self.egress.socket.fileno() >= 0:
             self.egress.send(data, self.random.choice(self.balancers))
 
-    def on_answer(self, data: bytes, sender: Address) -> None:
+    def on_answers(self, batch: list[Datagram]) -> None:
+        """Send answers to their callers."""
+        for data, _ in batch:
+            self.on_answer(data)
+
+    def on_answer(self, data: bytes) -> None:
         """Send an answer to its caller from the service's address."""
         proxied = decode_proxied(data)
         port = self.services.get(proxied.flow.service) if proxied else None
