--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -472,10 +472,9 @@
     def expire_flows(self, now: float) -> list[Effect]:
         """Close flows that have been silent for their service's idle time."""
         effects: list[Effect] = []
-        for name, service in self.topology.services.items():
-            if name not in self.flows.by_service:
-                continue
-            for owned in self.flows.idle(name, now - service.idle_s, EXPIRY_BATCH):
+        for name in list(self.flows.by_service):
+            idle_s = self.engine.service_of(name).idle_s
+            for owned in self.flows.idle(name, now - idle_s, EXPIRY_BATCH):
                 effects += self.give_up(owned, now)
         return effects
 
--- a/src/heatheryoke/core/node.py
+++ b/src/heatheryoke/core/node.py
@@ -42,6 +42,7 @@
 PAUSE_S = 1.0
 CONFIRM_RETRY_S = 0.5
 CONFIRM_PEERS = 3
+BOOTSTRAP_LIMIT_S = 8.0
 CONFIRM_WIDEN_S = 2.0
 WITHDRAWAL_NEWS_S = 4.0
 CONFIGURATION_MESSAGES = (EpochNotice, ConfigurationRequest, ConfigurationPart)
@@ -67,6 +68,7 @@
         self.resumed_at = 0.0
         self.paused_until_tick = False
         self.next_poll = 0.0
+        self.bootstrap_delay_s = CONFIRM_RETRY_S
         self.stopping_since: float | None = None
         self.pending_span = 0
         self.withdrawn_since: dict[str, float] = {}
@@ -213,10 +215,14 @@
         return effects
 
     def bootstrap(self, now: float) -> list[Effect]:
-        """Look for a first configuration at the platform and at the peers named in settings."""
+        """Look for a first configuration at the platform and at the peers named in settings.
+
+        The attempts grow rarer, so that a fleet that starts at once does not keep the platform busy.
+        """
         if now < self.next_poll:
             return []
-        self.next_poll = now + CONFIRM_RETRY_S
+        self.next_poll = now + self.bootstrap_delay_s
+        self.bootstrap_delay_s = min(BOOTSTRAP_LIMIT_S, 2 * self.bootstrap_delay_s)
         requests = [SendPeer(peer, ConfigurationRequest(0)) for peer in self.seeds]
         return [FetchConfiguration(), *requests]
 
