--- a/features/environment.py
+++ b/features/environment.py
@@ -15,6 +15,7 @@
 def before_scenario(context, scenario):
     context.loop = asyncio.new_event_loop()
     context.site = None
+    context.turn = 0
     context.feed_callers = []
     context.sheet_callers = []
 
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -65,10 +65,11 @@
     path = context.site.deployment.write_path
 
     async def send():
-        for turn in range(count):
-            await asyncio.gather(
-                *(caller.write(path, f"{id(caller)}-{turn}") for caller in context.feed_callers)
-            )
+        for _ in range(count):
+            context.turn += 1
+            identities = (f"{number}-{context.turn}" for number in range(len(context.feed_callers)))
+            pairs = zip(context.feed_callers, identities, strict=True)
+            await asyncio.gather(*(caller.write(path, identity) for caller, identity in pairs))
 
     run(context, send())
 
--- a/src/heatheryoke/core/node.py
+++ b/src/heatheryoke/core/node.py
@@ -217,7 +217,7 @@
     def bootstrap(self, now: float) -> list[Effect]:
         """Look for a first configuration at the platform and at the peers named in settings.
 
-        The attempts grow rarer, so that a fleet that starts at once does not keep the platform busy.
+        The attempts grow rarer, so that a fleet that starts at once spares the platform.
         """
         if now < self.next_poll:
             return []
--- a/src/heatheryoke/standins/upstream.py
+++ b/src/heatheryoke/standins/upstream.py
@@ -107,6 +107,7 @@
         super().__init__()
         self.upstream = upstream
         self.value = 0
+        self.registrations = 0
         self.timer: asyncio.TimerHandle | None = None
 
     def begin(self) -> None:
@@ -125,6 +126,11 @@
         if self.timer is not None:
             self.timer.cancel()
 
+    async def add_observation(self, request: aiocoap.Message, observation) -> None:
+        """Count a caller that opens or renews the feed."""
+        self.registrations += 1
+        await super().add_observation(request, observation)
+
     async def render_get(self, request: aiocoap.Message) -> aiocoap.Message:
         """Answer with the value."""
         return aiocoap.Message(payload=f"{self.upstream.name}:{self.value}".encode())
