--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,209 @@
+"""Claims under every order of messages, restarts and pauses: at most one runner starts."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from heatheryoke.core.claims import (
+    CLAIM_ROUND_S,
+    RECOVERY_DELAY_S,
+    Claimant,
+    Outcome,
+    Witness,
+    WitnessSets,
+)
+from heatheryoke.core.handover import HandoverLog
+from heatheryoke.core.messages import ClaimRelease, ClaimReply, ClaimRequest, ClaimVerdict
+
+IDENTITY = b"hold-17"
+WITNESSES = ("upstream-1", "upstream-2", "upstream-3")
+RUNNERS = ("upstream-1", "upstream-4", "upstream-5")
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Three witnesses and three runners that all want to run one request id."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1_000.0
+        self.witnesses = {name: Witness(name, 0.0) for name in WITNESSES}
+        self.restarted_at = dict.fromkeys(WITNESSES, 0.0)
+        self.claimants = {
+            name: Claimant(name, 1_000 * number) for number, name in enumerate(RUNNERS, start=1)
+        }
+        self.in_flight: list[tuple[str, ClaimRequest | ClaimReply | ClaimRelease]] = []
+        self.started: list[tuple[str, int]] = []
+        self.released: set[tuple[str, int]] = set()
+
+    @rule(runner=st.sampled_from(RUNNERS))
+    def claim(self, runner):
+        claimant = self.claimants[runner]
+        if IDENTITY in claimant.rounds:
+            return
+        sets = WitnessSets([frozenset(WITNESSES)], True)
+        opened = claimant.begin("holds", IDENTITY, sets, self.now)
+        self.in_flight += claimant.first_asks(opened, lambda name: False)
+
+    @precondition(lambda self: self.in_flight)
+    @rule(data=st.data())
+    def deliver(self, data):
+        index = data.draw(st.integers(0, len(self.in_flight) - 1))
+        target, message = self.in_flight.pop(index)
+        self.receive(target, message)
+
+    @precondition(lambda self: self.in_flight)
+    @rule()
+    def deliver_in_order(self):
+        for _ in range(min(6, len(self.in_flight))):
+            self.receive(*self.in_flight.pop(0))
+
+    @precondition(lambda self: self.in_flight)
+    @rule(data=st.data())
+    def duplicate_or_drop(self, data):
+        index = data.draw(st.integers(0, len(self.in_flight) - 1))
+        if data.draw(st.booleans()):
+            self.in_flight.append(self.in_flight[index])
+        else:
+            del self.in_flight[index]
+
+    @rule(seconds=st.sampled_from([0.01, 0.1, 0.25, CLAIM_ROUND_S, 2 * CLAIM_ROUND_S, 20.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+        for runner, claimant in self.claimants.items():
+            resend, finished = claimant.due(self.now)
+            self.in_flight += resend
+            for each in finished:
+                self.finish(runner, each)
+
+    @rule(name=st.sampled_from(WITNESSES))
+    def restart(self, name):
+        self.witnesses[name] = Witness(name, self.now)
+        self.restarted_at[name] = self.now
+
+    @rule(name=st.sampled_from(WITNESSES))
+    def read_back(self, name):
+        witness = self.witnesses[name]
+        others = [other for other in WITNESSES if other != name]
+        if self.now - self.restarted_at[name] <= RECOVERY_DELAY_S:
+            return
+        if any(self.witnesses[other].is_recovering(self.now) for other in others):
+            return
+        for other in others:
+            for record in self.witnesses[other].records(self.now):
+                witness.restore(record, self.now)
+        witness.recovered(self.now)
+
+    @rule(name=st.sampled_from(WITNESSES))
+    def upgrade(self, name):
+        witness = self.witnesses[name]
+        if witness.is_recovering(self.now):
+            return
+        witness.close()
+        for other in WITNESSES:
+            for record in witness.records(self.now):
+                if other != name:
+                    self.witnesses[other].restore(record, self.now)
+        self.restart(name)
+        self.witnesses[name].recovered(self.now)
+
+    def receive(self, target, message):
+        if isinstance(message, ClaimRequest):
+            reply = self.witnesses[target].ask(message, self.now)
+            self.in_flight.append((message.runner, reply))
+        elif isinstance(message, ClaimRelease):
+            self.witnesses[target].release(message)
+        else:
+            finished = self.claimants[target].on_reply(message, self.now)
+            if finished is not None:
+                self.finish(target, finished)
+
+    def finish(self, runner, finished):
+        if finished.outcome is Outcome.GRANTED:
+            self.started.append((runner, finished.attempt))
+            return
+        self.released.add((runner, finished.attempt))
+        note = ClaimRelease(IDENTITY, runner, finished.attempt)
+        self.in_flight += [(witness, note) for witness in WITNESSES]
+
+    @invariant()
+    def at_most_one_runner_starts(self):
+        assert len(self.started) <= 1, self.started
+
+    @invariant()
+    def what_started_was_never_released(self):
+        assert not self.released.intersection(self.started)
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(max_examples=1_000, stateful_step_count=40)
+
+
+class TestWitness:
+    def ask(self, runner, attempt, supersedes=0):
+        return ClaimRequest("holds", IDENTITY, runner, attempt, supersedes)
+
+    def test_names_the_holder_to_a_second_runner(self):
+        witness = Witness("upstream-1", 0.0)
+        witness.recovered(0.0)
+        witness.ask(self.ask("upstream-2", 7), 1.0)
+        reply = witness.ask(self.ask("upstream-3", 9), 1.0)
+        assert (reply.verdict, reply.holder, reply.holder_attempt) == (
+            ClaimVerdict.HELD,
+            "upstream-2",
+            7,
+        )
+
+    def test_a_released_attempt_may_be_superseded(self):
+        witness = Witness("upstream-1", 0.0)
+        witness.recovered(0.0)
+        witness.ask(self.ask("upstream-2", 7), 1.0)
+        reply = witness.ask(self.ask("upstream-3", 9, supersedes=7), 1.0)
+        assert reply.verdict is ClaimVerdict.GRANTED
+
+    def test_grants_nothing_after_a_start_without_memory(self):
+        witness = Witness("upstream-1", 10.0)
+        assert witness.ask(self.ask("upstream-2", 7), 11.0).verdict is ClaimVerdict.RECOVERING
+        later = 10.0 + witness.lifetime_s
+        assert witness.ask(self.ask("upstream-2", 7), later).verdict is ClaimVerdict.GRANTED
+
+
+class TestClaimant:
+    def test_goes_on_with_one_witness_dead(self):
+        claimant = Claimant("upstream-4", 1)
+        sets = WitnessSets([frozenset(WITNESSES)], True)
+        opened = claimant.begin("holds", IDENTITY, sets, 0.0)
+        asked = [name for name, _ in claimant.first_asks(opened, lambda name: name == "upstream-1")]
+        assert sorted(asked) == ["upstream-2", "upstream-3"]
+
+    def test_a_majority_that_comes_too_late_is_none(self):
+        claimant = Claimant("upstream-4", 1)
+        sets = WitnessSets([frozenset(WITNESSES[:1])], True)
+        opened = claimant.begin("holds", IDENTITY, sets, 0.0)
+        reply = ClaimReply(
+            IDENTITY, "upstream-1", opened.attempt, ClaimVerdict.GRANTED, "upstream-4", 2
+        )
+        finished = claimant.on_reply(reply, CLAIM_ROUND_S + 0.1)
+        assert finished.outcome is Outcome.UNAVAILABLE
+
+    def test_waits_for_the_history_that_it_lacks(self):
+        claimant = Claimant("upstream-4", 1)
+        sets = WitnessSets([frozenset(WITNESSES[:1])], False)
+        opened = claimant.begin("holds", IDENTITY, sets, 0.0)
+        granted = ClaimReply(
+            IDENTITY, "upstream-1", opened.attempt, ClaimVerdict.GRANTED, "upstream-4", 2
+        )
+        assert claimant.on_reply(granted, 0.1) is None
+        informed = granted._replace(knows_history=True)
+        assert claimant.on_reply(informed, 0.2).outcome is Outcome.GRANTED
+
+
+class TestHandoverLog:
+    def test_only_the_first_process_after_a_handover_may_grant_at_once(self):
+        log = HandoverLog()
+        log.begin("upstream-1")
+        assert not log.redeem("upstream-1", 5)
+        log.begin("upstream-1")
+        log.finish("upstream-1")
+        assert log.redeem("upstream-1", 6)
+        assert log.redeem("upstream-1", 6)
+        assert not log.redeem("upstream-1", 7)
--- /dev/null
+++ b/tests/test_epochs.py
@@ -0,0 +1,156 @@
+"""The configuration in force never goes back, whatever arrives in whatever order."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heatheryoke.core.balancer import Balancer
+from heatheryoke.core.configuration import Configuration, is_platform_watcher
+from heatheryoke.core.effects import Count, FetchConfiguration, SendPeer
+from heatheryoke.core.events import ConfigurationOffered, PeerMessageArrived, Tick
+from heatheryoke.core.messages import ConfigurationPart, ConfigurationRequest, EpochNotice
+from heatheryoke.core.node import PAUSE_S
+from heatheryoke.core.topology import Topology
+from heatheryoke.inventory.document import Address, Document, FailureDomain, Host, Role
+
+PEER = Address("10.0.0.9", 7_000)
+LAST = 6
+
+
+def document(version):
+    """Return a document with a host more for each version."""
+    hosts = tuple(
+        Host(f"balancer-{n}", Role.BALANCER, "d", Address(f"10.0.0.{n + 1}", 7_000))
+        for n in range(version)
+    )
+    return Document(version, (FailureDomain("d", "east"),), hosts)
+
+
+def peer_at(version, previous=None):
+    """Return a peer's configuration, reached by way of another version."""
+    peer = Configuration()
+    if previous:
+        peer.accept(document(previous))
+    peer.accept(document(version))
+    return peer
+
+
+def parts_from(peer, have):
+    effects = peer.answer(PEER, ConfigurationRequest(have))
+    return [effect.message for effect in effects if isinstance(effect, SendPeer)]
+
+
+offers = st.one_of(
+    st.builds(lambda version: ("platform", version), st.integers(1, LAST)),
+    st.builds(
+        lambda versions, have: ("peer", max(versions), min(versions), have),
+        st.sets(st.integers(1, LAST), min_size=2, max_size=2),
+        st.integers(0, LAST),
+    ),
+    st.builds(lambda data: ("garbage", data), st.binary(max_size=60)),
+)
+
+
+class TestOrderOfArrival:
+    @given(st.lists(offers, max_size=25), st.randoms(use_true_random=False))
+    def test_versions_only_grow(self, rows, chance):
+        node = Balancer("balancer-0", 1)
+        now, seen = 0.0, 0
+        for row in rows:
+            for event in self.events(row, now, chance):
+                node.reduce(event)
+                assert node.epoch >= seen
+                if node.topology is not None:
+                    assert len(node.topology.hosts) == node.epoch
+                seen = node.epoch
+            now += 0.05
+        offered = [row[1] for row in rows if row[0] == "platform"]
+        assert node.epoch >= max(offered, default=0)
+
+    def events(self, row, now, chance):
+        if row[0] == "platform":
+            return [ConfigurationOffered(now, document(row[1]))]
+        if row[0] == "garbage":
+            part = ConfigurationPart(99, 0, 0, 1, row[1])
+            return [PeerMessageArrived(now, PEER, 99, part)]
+        _, version, previous, have = row
+        parts = parts_from(peer_at(version, previous), have)
+        chance.shuffle(parts)
+        return [PeerMessageArrived(now, PEER, version, part) for part in parts]
+
+
+class TestExchange:
+    def test_a_peer_that_is_behind_by_one_gets_the_change_alone(self):
+        (part,) = parts_from(peer_at(5, previous=4), have=4)
+        assert part.base == 4
+        behind = peer_at(4)
+        assert behind.collect(part).unwrap() == document(5)
+
+    def test_a_peer_that_is_behind_by_more_gets_the_whole_document(self):
+        (part,) = parts_from(peer_at(5, previous=4), have=2)
+        assert part.base == 0
+        assert Configuration().collect(part).unwrap() == document(5)
+
+    def test_a_bad_document_keeps_the_one_in_force_and_asks_the_platform(self):
+        node = Balancer("balancer-0", 1)
+        node.reduce(ConfigurationOffered(0.0, document(3)))
+        part = ConfigurationPart(9, 0, 0, 1, b"not a document")
+        effects = node.reduce(PeerMessageArrived(0.1, PEER, 9, part))
+        assert node.epoch == 3
+        assert FetchConfiguration() in effects
+        assert Count("configurations_refused") in effects
+
+    def test_a_document_with_faults_is_refused_although_it_can_be_read(self):
+        faulty = document(4)._replace(failure_domains=())
+        peer = Configuration()
+        peer.accept(faulty)
+        node = Balancer("balancer-0", 1)
+        node.reduce(ConfigurationOffered(0.0, document(3)))
+        for part in parts_from(peer, have=0):
+            node.reduce(PeerMessageArrived(0.1, PEER, 4, part))
+        assert node.epoch == 3
+
+    def test_whoever_is_behind_asks_the_sender(self):
+        node = Balancer("balancer-0", 1)
+        node.reduce(ConfigurationOffered(0.0, document(3)))
+        effects = node.reduce(PeerMessageArrived(0.1, PEER, 5, EpochNotice(4)))
+        assert SendPeer(PEER, ConfigurationRequest(3)) in effects
+
+
+class TestPause:
+    def paused(self):
+        node = Balancer("balancer-0", 1)
+        node.reduce(ConfigurationOffered(0.0, document(3)))
+        node.reduce(Tick(0.05))
+        node.reduce(Tick(0.05 + PAUSE_S + 1))
+        return node
+
+    def test_a_process_that_was_paused_is_mute_until_its_epoch_is_confirmed(self):
+        node = self.paused()
+        assert node.is_muted()
+        node.reduce(ConfigurationOffered(1.2, document(3)))
+        assert not node.is_muted()
+
+    def test_an_older_answer_confirms_nothing(self):
+        node = self.paused()
+        node.reduce(ConfigurationOffered(1.2, document(2)))
+        assert node.is_muted()
+        assert node.epoch == 3
+
+    def test_a_newer_epoch_must_arrive_first(self):
+        node = self.paused()
+        node.reduce(PeerMessageArrived(1.2, PEER, 5, EpochNotice(0)))
+        assert node.is_muted()
+        node.reduce(ConfigurationOffered(1.3, document(5)))
+        assert not node.is_muted()
+
+
+class TestPlatformWatchers:
+    def test_are_two_a_failure_domain_and_skip_the_suspected(self):
+        topology = Topology(document(6))
+        first = [name for name in topology.hosts if is_platform_watcher(topology, name, set())]
+        assert len(first) == 2
+        others = [
+            name for name in topology.hosts if is_platform_watcher(topology, name, {first[0]})
+        ]
+        assert len(others) == 2
+        assert first[0] not in others
