--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -204,7 +204,8 @@
     def admit(self, active: ActiveRequest, now: float) -> list[Effect]:
         """Offer a request to its upstream."""
         admission = self.admission(active.service, now)
-        return self.carry_out(admission.offer(active, now), now)
+        queued = self.measure("queue_at_arrival", active, len(admission.queue))
+        return [queued, *self.carry_out(admission.offer(active, now), now)]
 
     def carry_out(self, decision: Decision, now: float) -> list[Effect]:
         """Start and refuse what admission decided."""
--- a/src/heatheryoke/daemons/metrics.py
+++ b/src/heatheryoke/daemons/metrics.py
@@ -15,7 +15,9 @@
 HISTOGRAM_HELP = {
     "wait_seconds": "Time from a request's arrival to its start at the upstream.",
     "service_seconds": "Time from a request's start at the upstream to its answer.",
+    "queue_at_arrival": "Requests that waited when a request arrived.",
 }
+BUCKETS = {"queue_at_arrival": (0, 1, 2, 4, 8, 16, 32, 64, 128, 256)}
 
 
 class EventCounters(Collector):
@@ -49,7 +51,7 @@
                 f"heatheryoke_{name}",
                 text,
                 ["tenant", "request_class"],
-                buckets=BUCKETS_S,
+                buckets=BUCKETS.get(name, BUCKETS_S),
                 registry=self.registry,
             )
             for name, text in HISTOGRAM_HELP.items()
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,35 @@
+"""The operators' page names every setting and every counter."""
+
+import re
+from pathlib import Path
+
+from heatheryoke.core.requests import RefusalReason
+from heatheryoke.daemons.settings import SETTINGS
+from heatheryoke.wire.envelope import BadEnvelope
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+COUNTED = re.compile(r'[Cc]ount\(\s*"([a-z_]+)"')
+
+
+def counted_names():
+    """Return every name that the source counts under."""
+    names = {"faults", "flows_opened", "flows_readopted"}
+    for path in (ROOT / "src" / "heatheryoke").rglob("*.py"):
+        names.update(COUNTED.findall(path.read_text(encoding="utf-8")))
+    names.update(f"refused_{reason.name.lower()}" for reason in RefusalReason)
+    names.update(f"bad_datagrams_{bad.value}" for bad in BadEnvelope)
+    return sorted(names)
+
+
+class TestOperationsPage:
+    def test_has_every_setting_as_the_code_has_it(self):
+        for row in SETTINGS:
+            roles = "both" if len(row.roles) == 2 else row.roles[0].value
+            default = "required" if row.default is None else row.default or "empty"
+            line = f"| {row.section} | {row.key} | {roles} | {default} | {row.help} |"
+            assert line in PAGE, line
+
+    def test_has_every_counter(self):
+        missing = [name for name in counted_names() if f"`{name}`" not in PAGE]
+        assert missing == []
