Let a flow's first home keep it while it has no more than its share

Cause: docs/CAPACITY.md names hops and registrations of new flows as the largest cost. Change: a first home that has seen the loads of two or more candidates within 2 s takes the flow itself if its load is at most their mean; otherwise the packet visits others as before.

--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -47,7 +47,7 @@
 )
 from heatheryoke.core.node import Node
 from heatheryoke.core.ownership import OwnedFlow, OwnedFlows, Registrar
-from heatheryoke.core.placement import LeastOfVisited, Offers, Placement
+from heatheryoke.core.placement import LeastOfVisited, Offers, Placement, SeenLoads
 from heatheryoke.core.recovery import Recovery, recovery_replies
 from heatheryoke.core.request_engine import RequestEngine
 from heatheryoke.core.requests import CodecFactory, RefusalReason, RequestKind
@@ -65,6 +65,7 @@
 STOP_LIMIT_S = 25.0
 OUTSTANDING_WEIGHT = 2.0
 OFFER_S = 0.02
+SEEN_LOAD_S = 2.0
 SPARE_IDLE_S = 5.0
 SPARE_SEARCH = 20
 NO_ROOM_RETRY_S = 2.0
@@ -109,6 +110,7 @@
             self.engine.claims.witness.recovered(started)
             self.history.is_first_start = True
         self.offers = Offers(OFFER_S)
+        self.seen_loads = SeenLoads(SEEN_LOAD_S)
         self.withdrawn = False
         self.handover: Handover | None = None
         self.handovers = HandoverLog()
@@ -323,6 +325,9 @@
         request = self.engine.codec_of(service.name).read_request(message.payload)
         opens_feed = request is not None and request.kind is RequestKind.FEED
         visit = Visit(short_id(self.host_name), self.load(service.name, opens_feed, now))
+        self.seen_loads.note(service.name, opens_feed, message.visited, now)
+        if self.may_keep(service.name, opens_feed, candidates, visit, message, now):
+            return self.own(message, service, generation, now)
         self.offers.add(now)
         visited = (*message.visited, visit)
         onward = message._replace(visited=visited, generation=generation)
@@ -338,6 +343,21 @@
         self.directory.expect(message.flow, chosen.name, generation, now)
         return self.pass_on(onward._replace(assigned=True), chosen)
 
+    def may_keep(
+        self,
+        service: str,
+        opens_feed: bool,
+        candidates: list[Host],
+        visit: Visit,
+        message: Forward,
+        now: float,
+    ) -> bool:
+        """Tell whether the first home may take a flow without asking others: it has its share."""
+        if message.visited or not candidates or candidates[0].name != self.host_name:
+            return False
+        others = self.seen_loads.mean(service, opens_feed, candidates[1:], now)
+        return others is not None and visit.load <= others
+
     def load(self, service: str, opens_feed: bool, now: float) -> float:
         """Return this host's load for placement, infinite where it takes no new flows.
 
--- a/src/heatheryoke/core/placement.py
+++ b/src/heatheryoke/core/placement.py
@@ -9,7 +9,7 @@
 from heatheryoke.inventory.document import Host
 
 __all__ = ["MAXIMUM_VISITS", "FirstCandidate", "LeastOfVisited", "Offers"]
-__all__ += ["Placement"]
+__all__ += ["Placement", "SeenLoads"]
 
 MAXIMUM_VISITS = 3
 
@@ -65,6 +65,27 @@
         return len(self.times) / MAXIMUM_VISITS
 
 
+class SeenLoads:
+    """Loads of other candidates, as the visits that passed this host have shown them."""
+
+    def __init__(self, keep_s: float):
+        self.keep_s = keep_s
+        self.loads: dict[tuple[str, bool, int], tuple[float, float]] = {}
+
+    def note(self, service: str, opens_feed: bool, visited: tuple[Visit, ...], now: float) -> None:
+        """Remember the loads that a new flow's packet carries."""
+        for visit in visited:
+            self.loads[service, opens_feed, visit.host_id] = (visit.load, now)
+
+    def mean(
+        self, service: str, opens_feed: bool, candidates: list[Host], now: float
+    ) -> float | None:
+        """Return the mean of what was seen lately, None if that is less than two loads."""
+        rows = (self.loads.get((service, opens_feed, short_id(host.name))) for host in candidates)
+        fresh = [row[0] for row in rows if row and now - row[1] < self.keep_s and row[0] < inf]
+        return sum(fresh) / len(fresh) if len(fresh) >= 2 else None
+
+
 class FirstCandidate(Placement):
     """Takes the first candidate by rank: plain rendezvous hashing."""
 
