Register a new flow once; send its second packet where the first went; keep no feeds unasked

Cause: (1) a flow was registered when bound and again when first answered. (3) Kept feeds made flows less even. Change: the first registration goes out with the first answer, or after 0.25 s; a tentative entry repeats its decision; only flows that open no feed are kept without asking.

--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -250,8 +250,8 @@
                 return self.pass_to_owner(message, service, entry, now)
             generation = entry.registration.generation + 1
             self.directory.remove(message.flow)
-        elif entry is not None:
-            generation = max(generation, entry.registration.generation)
+        elif entry is not None and self.can_repeat(entry):
+            return self.repeat_decision(message, entry)
         if message.visited:
             return self.place(message, service, generation, now)
         authority = self.authority(message, service, now)
@@ -262,6 +262,20 @@
         deputed = authority.name not in self.home_names(message.flow, service)[:1]
         return self.pass_on(message._replace(deputed=deputed or message.deputed), authority)
 
+    def can_repeat(self, entry: Entry) -> bool:
+        """Tell whether the host that a flow was passed to can still be sent to."""
+        host = self.topology.hosts.get(entry.registration.owner)
+        return host is not None and self.is_usable(host)
+
+    def repeat_decision(self, message: Forward, entry: Entry) -> list[Effect]:
+        """Pass a flow's next packet where its first went, so that it ends with the same owner."""
+        row = entry.registration
+        onward = message._replace(generation=row.generation, assigned=entry.assigned)
+        if not entry.assigned:
+            own = Visit(short_id(self.host_name), inf)
+            onward = onward._replace(visited=(*message.visited, own))
+        return self.pass_on(onward, self.topology.hosts[row.owner])
+
     def home_names(self, flow: FlowKey, service: Service) -> list[str]:
         """Return the names of a flow's homes."""
         return [home.name for home in self.topology.view(service.name).homes(flow)]
@@ -325,38 +339,34 @@
         request = self.engine.codec_of(service.name).read_request(message.payload)
         opens_feed = request is not None and request.kind is RequestKind.FEED
         visit = Visit(short_id(self.host_name), self.load(service.name, opens_feed, now))
-        self.seen_loads.note(service.name, opens_feed, message.visited, now)
-        if self.may_keep(service.name, opens_feed, candidates, visit, message, now):
-            return self.own(message, service, generation, now)
+        if not opens_feed:
+            self.seen_loads.note(service.name, message.visited, now)
+            if not message.visited and self.may_keep(service.name, candidates, visit.load, now):
+                return self.own(message, service, generation, now)
         self.offers.add(now)
         visited = (*message.visited, visit)
         onward = message._replace(visited=visited, generation=generation)
         following = self.placement.next_candidate(candidates, visited)
         if following is not None:
-            self.directory.expect(message.flow, following.name, generation, now)
+            self.directory.expect(message.flow, following.name, generation, False, now)
             return self.pass_on(onward, following)
         chosen = self.placement.choose(candidates, visited)
         if chosen is None:
             return self.refuse_flow(message, service)
         if chosen.name == self.host_name:
             return self.own(message, service, generation, now)
-        self.directory.expect(message.flow, chosen.name, generation, now)
+        self.directory.expect(message.flow, chosen.name, generation, True, now)
         return self.pass_on(onward._replace(assigned=True), chosen)
 
-    def may_keep(
-        self,
-        service: str,
-        opens_feed: bool,
-        candidates: list[Host],
-        visit: Visit,
-        message: Forward,
-        now: float,
-    ) -> bool:
-        """Tell whether the first home may take a flow without asking others: it has its share."""
-        if message.visited or not candidates or candidates[0].name != self.host_name:
+    def may_keep(self, service: str, candidates: list[Host], load: float, now: float) -> bool:
+        """Tell whether the first home may take a flow without asking others: it has its share.
+
+        Flows that open a feed stay too long for such a guess.
+        """
+        if not candidates or candidates[0].name != self.host_name:
             return False
-        others = self.seen_loads.mean(service, opens_feed, candidates[1:], now)
-        return others is not None and visit.load <= others
+        others = self.seen_loads.mean(service, candidates[1:], now)
+        return others is not None and load <= others
 
     def load(self, service: str, opens_feed: bool, now: float) -> float:
         """Return this host's load for placement, infinite where it takes no new flows.
@@ -430,11 +440,11 @@
         self.registrar.renew_later(owned, now)
 
     def on_flow_bound(self, event: FlowBound) -> list[Effect]:
-        """Register a flow once the upstream's side of it is known."""
+        """Note the upstream's side of a flow; it is registered with its first answer, or soon."""
         owned = self.flows.flows.get(event.flow)
         if owned is not None:
             owned.local_port = event.local_port
-            self.registrar.register(owned, self.topology)
+            self.registrar.register_later(owned, event.now)
         return []
 
     def on_upstream_packet(self, event: UpstreamPacket) -> list[Effect]:
@@ -508,7 +518,10 @@
                 self.registrar.register(owned, self.topology)
 
     def renew(self, now: float) -> None:
-        """Renew the registrations that are due."""
+        """Register and renew what is due."""
+        for owned in self.registrar.due_first(now):
+            if self.flows.flows.get(owned.flow) is owned:
+                self.registrar.register(owned, self.topology)
         for owned in self.registrar.due(now, RENEWAL_BATCH):
             if self.flows.flows.get(owned.flow) is owned:
                 self.registrar.register(owned, self.topology)
--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -17,11 +17,16 @@
 
 
 class Entry(NamedTuple):
-    """What a home knows of a flow; a tentative entry awaits its owner's registration."""
+    """What a home knows of a flow.
+
+    A tentative entry awaits a registration: the flow's first packet has been passed to the host
+    that it names as owner, as the owner if `assigned`, else as the next candidate.
+    """
 
     registration: Registration
     expires: float
     tentative: bool
+    assigned: bool = False
 
 
 class Outcome(Enum):
@@ -53,10 +58,12 @@
         """Return every registration."""
         return [entry.registration for entry in self.entries.values()]
 
-    def expect(self, flow: FlowKey, owner: str, generation: int, now: float) -> None:
+    def expect(
+        self, flow: FlowKey, owner: str, generation: int, assigned: bool, now: float
+    ) -> None:
         """Note that a flow has just been passed to a host, until an owner registers it."""
         row = Registration(flow, owner, generation, 0, False, False, ())
-        self.tentative[flow] = Entry(row, now + TENTATIVE_S, True)
+        self.tentative[flow] = Entry(row, now + TENTATIVE_S, True, assigned)
         self.tentative.move_to_end(flow)
 
     def register(self, row: Registration, now: float) -> Outcome:
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -15,6 +15,7 @@
 REMEMBERED_ANSWERS = 32
 BATCH_ENTRIES = 12
 RESEND_S = 0.3
+FIRST_REGISTRATION_S = 0.25
 MAXIMUM_RESENDS = 20
 
 
@@ -187,11 +188,12 @@
         self.outbox: dict[str, dict[FlowKey, Registration]] = {}
         self.unacknowledged: dict[int, Batch] = {}
         self.renewals: deque[tuple[float, OwnedFlow]] = deque()
+        self.first: deque[tuple[float, OwnedFlow]] = deque()
         self.last_batch = first_batch
 
     def is_idle(self) -> bool:
-        """Tell whether every registration has been acknowledged."""
-        return not self.outbox and not self.unacknowledged
+        """Tell whether every registration has been sent and acknowledged."""
+        return not self.outbox and not self.unacknowledged and not self.first
 
     def register(self, owned: OwnedFlow, topology: Topology) -> None:
         """Queue a flow's registration at each of its homes but this host."""
@@ -213,6 +215,20 @@
         """Plan the next renewal of a flow."""
         self.renewals.append((now + RENEWAL_S, owned))
 
+    def register_later(self, owned: OwnedFlow, now: float) -> None:
+        """Plan a flow's first registration, unless something else brings it on before."""
+        owned.homes = ()
+        self.first.append((now + FIRST_REGISTRATION_S, owned))
+
+    def due_first(self, now: float) -> list[OwnedFlow]:
+        """Take the flows whose first registration is due and was not brought on before."""
+        found: list[OwnedFlow] = []
+        while self.first and self.first[0][0] <= now:
+            owned = self.first.popleft()[1]
+            if not owned.homes:
+                found.append(owned)
+        return found
+
     def due(self, now: float, limit: int) -> list[OwnedFlow]:
         """Take up to `limit` flows whose renewal is due."""
         found: list[OwnedFlow] = []
--- a/src/heatheryoke/core/placement.py
+++ b/src/heatheryoke/core/placement.py
@@ -70,19 +70,18 @@
 
     def __init__(self, keep_s: float):
         self.keep_s = keep_s
-        self.loads: dict[tuple[str, bool, int], tuple[float, float]] = {}
+        self.loads: dict[tuple[str, int], tuple[float, float]] = {}
 
-    def note(self, service: str, opens_feed: bool, visited: tuple[Visit, ...], now: float) -> None:
+    def note(self, service: str, visited: tuple[Visit, ...], now: float) -> None:
         """Remember the loads that a new flow's packet carries."""
         for visit in visited:
-            self.loads[service, opens_feed, visit.host_id] = (visit.load, now)
+            if visit.load < inf:
+                self.loads[service, visit.host_id] = (visit.load, now)
 
-    def mean(
-        self, service: str, opens_feed: bool, candidates: list[Host], now: float
-    ) -> float | None:
+    def mean(self, service: str, candidates: list[Host], now: float) -> float | None:
         """Return the mean of what was seen lately, None if that is less than two loads."""
-        rows = (self.loads.get((service, opens_feed, short_id(host.name))) for host in candidates)
-        fresh = [row[0] for row in rows if row and now - row[1] < self.keep_s and row[0] < inf]
+        rows = (self.loads.get((service, short_id(host.name))) for host in candidates)
+        fresh = [row[0] for row in rows if row and now - row[1] < self.keep_s]
         return sum(fresh) / len(fresh) if len(fresh) >= 2 else None
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -25,7 +25,8 @@
     PeerMessageArrived,
 )
 from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key
-from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Yield
+from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Visit, Yield
+from heatheryoke.core.ownership import FIRST_REGISTRATION_S
 from heatheryoke.core.requests import RequestKind
 from heatheryoke.inventory.checks import short_id
 from heatheryoke.inventory.document import Address, Protocol
@@ -110,6 +111,37 @@
         assert len(node.hints) == 10
 
 
+class TestPlacement:
+    def home_of(self, published, flow):
+        view = make_balancer(published).topology.view(published.services[0].name)
+        return view.homes(flow)[0].name
+
+    def test_a_second_packet_goes_where_the_first_went(self):
+        published = document()
+        main = published.services[0]
+        flow = flow_to(main)
+        node = make_agent(published, self.home_of(published, flow))
+        (first,) = of_kind(node.reduce(forward(flow, main)), SendForward)
+        others = tuple(
+            Visit(short_id(host.name), 50.0) for host in node.topology.view(main.name).agents
+        )
+        node.seen_loads.note(main.name, others, NOW)
+        effects = node.reduce(forward(flow, main))
+        assert not of_kind(effects, BindFlow)
+        assert [effect.to for effect in of_kind(effects, SendForward)] == [first.to]
+
+    def test_a_home_with_less_than_its_share_keeps_a_flow(self):
+        published = document()
+        main = published.services[0]
+        flow = flow_to(main)
+        node = make_agent(published, self.home_of(published, flow))
+        others = tuple(
+            Visit(short_id(host.name), 5.0) for host in node.topology.view(main.name).agents
+        )
+        node.seen_loads.note(main.name, others, NOW)
+        assert of_kind(node.reduce(forward(flow, main)), BindFlow)
+
+
 class TestServices:
     @given(st.integers(0, 2**64 - 1))
     def test_a_forged_service_is_never_delivered(self, service_id):
@@ -201,6 +233,7 @@
         flow = flow_to(main)
         node.reduce(forward(flow, main, assigned=True))
         node.reduce(FlowBound(NOW, flow, 40_000))
+        node.renew(NOW + FIRST_REGISTRATION_S)
         sent = of_kind(node.registrar.flush(node.flows, node.topology, NOW), SendPeer)
         homes = {home.address for home in node.topology.view(main.name).homes(flow)}
         own = node.topology.hosts["upstream-1"].address
