--- /dev/null
+++ b/src/heatheryoke/core/home.py
@@ -0,0 +1,290 @@
+"""The home's part of an agent: finds the owner of a flow, or places a new one."""
+
+from abc import abstractmethod
+from math import inf
+
+from heatheryoke.core.directory import Directory, Entry, Outcome, precedes
+from heatheryoke.core.effects import (
+    AnswerCaller,
+    BindFlow,
+    Count,
+    Effect,
+    SendForward,
+    SendPeer,
+)
+from heatheryoke.core.events import (
+    ForwardArrived,
+    PeerMessageArrived,
+)
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.messages import (
+    Forward,
+    Registration,
+    Registrations,
+    RegistrationsAck,
+    Visit,
+    Yield,
+)
+from heatheryoke.core.owner import Owner
+from heatheryoke.core.ownership import OwnedFlow
+from heatheryoke.core.placement import LeastOfVisited, Offers, Placement, SeenLoads
+from heatheryoke.core.requests import RefusalReason, RequestKind
+from heatheryoke.inventory.checks import short_id
+from heatheryoke.inventory.document import Address, Host, Service
+
+__all__ = ["OWNER_GIVE_UP_S", "TAKEOVER_GRACE_S", "Home"]
+
+TAKEOVER_GRACE_S = 2.0
+OWNER_GIVE_UP_S = 10.0
+OUTSTANDING_WEIGHT = 2.0
+OFFER_S = 0.02
+SEEN_LOAD_S = 2.0
+NO_ROOM_RETRY_S = 2.0
+
+
+class Home(Owner):
+    """Keeps the directory of a share of all flows, and places the new ones."""
+
+    def __init__(
+        self,
+        host_name: str,
+        incarnation: int,
+        started: float,
+        *arguments,
+        placement: Placement | None = None,
+        **options,
+    ):
+        super().__init__(host_name, incarnation, started, *arguments, **options)
+        self.directory = Directory()
+        self.placement = placement or LeastOfVisited()
+        self.offers = Offers(OFFER_S)
+        self.seen_loads = SeenLoads(SEEN_LOAD_S)
+        self.event_handlers[ForwardArrived] = self.on_forward
+        self.message_handlers[Registrations] = self.on_registrations
+
+    @abstractmethod
+    def has_recovered_flows(self, now: float) -> bool:
+        """Tell whether the directory knows what this host's former process knew."""
+
+    def forget_entry(self, flow: FlowKey) -> None:
+        """Remove a flow from the directory."""
+        self.directory.remove(flow)
+
+    def on_forward(self, event: ForwardArrived) -> list[Effect]:
+        """Deliver a caller's packet if this host owns its flow, else pass it on."""
+        effects = self.configuration.request_from(event.sender, event.epoch, event.now)
+        if self.is_muted():
+            return [*effects, Count("dropped_unconfirmed")]
+        message = event.message
+        service = self.topology.service_ids.get(message.service_id)
+        if service is None or self.topology.service_of(message.flow) is not service:
+            return [*effects, Count("dropped_wrong_service")]
+        if self.withdrawn:
+            return [*effects, Count("dropped_withdrawn")]
+        owned = self.flows.flows.get(message.flow)
+        if owned is not None and owned.service == service.name:
+            return effects + self.deliver(owned, message, event.now)
+        if owned is not None:
+            effects += self.give_up(owned, event.now)
+        return effects + self.route(message, service, event.now)
+
+    def route(self, message: Forward, service: Service, now: float) -> list[Effect]:
+        """Pass on a packet of a flow that this host does not own, or place the flow."""
+        if message.assigned:
+            return self.own(message, service, message.generation, now)
+        entry = self.directory.find(message.flow, now)
+        generation = message.generation
+        if entry is not None and not entry.tentative:
+            if not self.is_lost(entry.registration.owner, service, now):
+                return self.pass_to_owner(message, service, entry, now)
+            generation = entry.registration.generation + 1
+            self.directory.remove(message.flow)
+        elif entry is not None and self.can_repeat(entry):
+            return self.repeat_decision(message, entry)
+        if message.visited:
+            return self.place(message, service, generation, now)
+        authority = self.authority(message, service, now)
+        if authority is None:
+            return [Count("dropped_no_authority")]
+        if authority.name == self.host_name:
+            return self.place(message, service, generation, now)
+        deputed = authority.name not in self.home_names(message.flow, service)[:1]
+        return self.pass_on(message._replace(deputed=deputed or message.deputed), authority)
+
+    def can_repeat(self, entry: Entry) -> bool:
+        """Tell whether the host that a flow was passed to can still be sent to."""
+        host = self.topology.hosts.get(entry.registration.owner)
+        return host is not None and self.is_usable(host)
+
+    def repeat_decision(self, message: Forward, entry: Entry) -> list[Effect]:
+        """Pass a flow's next packet where its first went, so that it ends with the same owner."""
+        row = entry.registration
+        onward = message._replace(generation=row.generation, assigned=entry.assigned)
+        if not entry.assigned:
+            own = Visit(short_id(self.host_name), inf)
+            onward = onward._replace(visited=(*message.visited, own))
+        return self.pass_on(onward, self.topology.hosts[row.owner])
+
+    def is_lost(self, owner: str, service: Service, now: float) -> bool:
+        """Tell whether an owner will not come back to its flows."""
+        if self.topology.is_withdrawn(owner):
+            return True
+        if (service.name, owner) not in self.topology.endpoints:
+            return True
+        return self.membership.suspected_for(owner, now) > OWNER_GIVE_UP_S
+
+    def pass_to_owner(
+        self, message: Forward, service: Service, entry: Entry, now: float
+    ) -> list[Effect]:
+        """Send a packet to the owner that the directory names."""
+        row = entry.registration
+        assigned = message._replace(
+            assigned=True, local_port=row.local_port, generation=row.generation
+        )
+        if row.owner == self.host_name:
+            return self.own(assigned, service, row.generation, now)
+        return self.pass_on(assigned, self.topology.hosts[row.owner])
+
+    def pass_on(self, message: Forward, to: Host) -> list[Effect]:
+        """Send a packet one hop further, within the hop limit."""
+        if message.hops <= 1:
+            return [Count("dropped_hop_limit")]
+        return [SendForward(to.address, message._replace(hops=message.hops - 1))]
+
+    def authority(self, message: Forward, service: Service, now: float) -> Host | None:
+        """Return the host that may call an unknown flow new, None while nobody can tell.
+
+        That is the flow's first home that answers. While homes have just moved it is the former
+        one, and while a home recovers it is the other.
+        """
+        own = self.topology.hosts[self.host_name]
+        recovering = not self.has_recovered_flows(now)
+        if message.deputed:
+            return None if recovering else own
+        former = self.history.former_homes(service.name, message.flow, now, TAKEOVER_GRACE_S)
+        usable = [home for home in former if self.is_usable(home)]
+        if usable:
+            return usable[0]
+        homes = self.topology.view(service.name).homes(message.flow)
+        others = [home for home in homes if home.name != own.name and self.is_usable(home)]
+        if recovering:
+            return others[0] if others else None
+        if own.name not in [home.name for home in homes]:
+            return others[0] if others else None
+        return next((home for home in homes if home.name == own.name or home in others), own)
+
+    def place(
+        self, message: Forward, service: Service, generation: int, now: float
+    ) -> list[Effect]:
+        """Add this host's offer to a new flow's packet; pass it on or choose the owner."""
+        view = self.topology.view(service.name)
+        candidates = [host for host in view.candidates(message.flow) if self.is_usable(host)]
+        request = self.engine.codec_of(service.name).read_request(message.payload)
+        opens_feed = request is not None and request.kind is RequestKind.FEED
+        visit = Visit(short_id(self.host_name), self.load(service.name, opens_feed, now))
+        if not opens_feed:
+            self.seen_loads.note(service.name, message.visited, now)
+            if not message.visited and self.may_keep(service.name, candidates, visit.load, now):
+                return self.own(message, service, generation, now)
+        self.offers.add(now)
+        visited = (*message.visited, visit)
+        onward = message._replace(visited=visited, generation=generation)
+        following = self.placement.next_candidate(candidates, visited)
+        if following is not None:
+            self.directory.expect(message.flow, following.name, generation, False, now)
+            return self.pass_on(onward, following)
+        chosen = self.placement.choose(candidates, visited)
+        if chosen is None:
+            return self.refuse_flow(message, service)
+        if chosen.name == self.host_name:
+            return self.own(message, service, generation, now)
+        self.directory.expect(message.flow, chosen.name, generation, True, now)
+        return self.pass_on(onward._replace(assigned=True), chosen)
+
+    def may_keep(self, service: str, candidates: list[Host], load: float, now: float) -> bool:
+        """Tell whether the first home may take a flow without asking others: it has its share.
+
+        Flows that open a feed stay too long for such a guess.
+        """
+        if not candidates or candidates[0].name != self.host_name:
+            return False
+        others = self.seen_loads.mean(service, candidates[1:], now)
+        return others is not None and load <= others
+
+    def load(self, service: str, opens_feed: bool, now: float) -> float:
+        """Return this host's load for placement, infinite where it takes no new flows.
+
+        Flows that live count by what the upstream can bear now. So does outstanding work, but not
+        for a flow that opens a feed: it will stay long after that work is done.
+        """
+        endpoint = self.topology.endpoints.get((service, self.host_name))
+        host = self.topology.hosts[self.host_name]
+        if endpoint is None or self.stopping_since is not None:
+            return inf
+        if not self.topology.is_placeable(host):
+            return inf
+        flows = self.flows.count(service)
+        if flows >= endpoint.connections and self.spare_flow(service, now) is None:
+            return inf
+        admission = self.engine.admission(service, now)
+        live = self.flows.live(service, now)
+        if not opens_feed:
+            live += OUTSTANDING_WEIGHT * admission.outstanding
+        bears = endpoint.weight * min(1.0, admission.limit / admission.slots)
+        return (live + self.offers.count(now)) / bears
+
+    def refuse_flow(self, message: Forward, service: Service) -> list[Effect]:
+        """Tell the caller of a flow that has no place when to come back."""
+        codec = self.engine.codec_of(service.name)
+        request = codec.read_request(message.payload)
+        counted: list[Effect] = [Count("flows_refused")]
+        if request is None or request.kind is RequestKind.CONTROL:
+            return counted
+        reason = RefusalReason.OUTCOME_UNKNOWN if request.request_id else RefusalReason.NO_ROOM
+        answer = codec.refusal(message.payload, reason, NO_ROOM_RETRY_S)
+        return [*counted, AnswerCaller(message.flow, answer)]
+
+    def own(self, message: Forward, service: Service, generation: int, now: float) -> list[Effect]:
+        """Become the owner of a flow and deliver its packet."""
+        endpoint = self.topology.endpoints.get((service.name, self.host_name))
+        if endpoint is None:
+            return [Count("dropped_no_endpoint")]
+        is_new = message.local_port == 0
+        effects: list[Effect] = []
+        if is_new and self.flows.count(service.name) >= endpoint.connections:
+            spare = self.spare_flow(service.name, now)
+            if spare is None:
+                return self.refuse_flow(message, service)
+            effects = [Count("flows_spared"), *self.give_up(spare, now)]
+        owned = OwnedFlow(message.flow, service.name, generation, message.local_port, now)
+        self.adopt(owned, now)
+        counted = Count("flows_opened" if is_new else "flows_readopted")
+        bind = BindFlow(message.flow, endpoint.address, message.local_port)
+        return [*effects, counted, bind, *self.deliver(owned, message, now)]
+
+    def on_registrations(self, event: PeerMessageArrived) -> list[Effect]:
+        """Take an owner's registrations, acknowledge them, and settle rival owners."""
+        effects: list[Effect] = [SendPeer(event.sender, RegistrationsAck(event.message.batch))]
+        for row in event.message.entries:
+            effects += self.settle(event.sender, row, event.now)
+        return effects
+
+    def settle(self, sender: Address, row: Registration, now: float) -> list[Effect]:
+        """Take one registration; the owner that loses is told to yield."""
+        owned = self.flows.flows.get(row.flow)
+        if owned is not None and not row.closed:
+            if precedes(owned.registration(self.host_name), row):
+                return [Count("owners_settled"), SendPeer(sender, Yield(row.flow, self.host_name))]
+            return [Count("owners_settled"), *self.yield_flow(owned, row.owner, now)]
+        held = self.directory.entries.get(row.flow)
+        outcome = self.directory.register(row, now)
+        if outcome is Outcome.LOST:
+            return [
+                Count("owners_settled"),
+                SendPeer(sender, Yield(row.flow, held.registration.owner)),
+            ]
+        if outcome is Outcome.REPLACED:
+            loser = self.topology.hosts.get(held.registration.owner)
+            note = Yield(row.flow, row.owner)
+            return [Count("owners_settled"), *([SendPeer(loser.address, note)] if loser else [])]
+        return [Count("registrations_refused")] if outcome is Outcome.REFUSED else []
