--- a/src/heatheryoke/core/placement.py
+++ b/src/heatheryoke/core/placement.py
@@ -8,7 +8,7 @@
 from heatheryoke.inventory.checks import short_id
 from heatheryoke.inventory.document import Host
 
-__all__ = ["MAXIMUM_VISITS", "FirstCandidate", "LeastOfVisited", "Offers"]
+__all__ = ["MAXIMUM_VISITS", "LeastOfVisited", "Offers"]
 __all__ += ["Placement", "SeenLoads"]
 
 MAXIMUM_VISITS = 3
@@ -83,14 +83,3 @@
         rows = (self.loads.get((service, short_id(host.name))) for host in candidates)
         fresh = [row[0] for row in rows if row and now - row[1] < self.keep_s]
         return sum(fresh) / len(fresh) if len(fresh) >= 2 else None
-
-
-class FirstCandidate(Placement):
-    """Takes the first candidate by rank: plain rendezvous hashing."""
-
-    def next_candidate(self, candidates: list[Host], visited: tuple[Visit, ...]) -> Host | None:
-        """Move on only from hosts without room."""
-        if self.choose(candidates, visited) is not None:
-            return None
-        seen = {visit.host_id for visit in visited}
-        return next((host for host in candidates if short_id(host.name) not in seen), None)
--- a/src/heatheryoke/core/topology.py
+++ b/src/heatheryoke/core/topology.py
@@ -12,7 +12,6 @@
     Endpoint,
     Host,
     HostState,
-    Role,
     Service,
 )
 
@@ -162,7 +161,3 @@
             return None
         withdrawn = host.failure_domain in self.withdrawn
         return self.segments[host.failure_domain if withdrawn else ""]
-
-    def balancers(self) -> list[Host]:
-        """Return the hosts that run a balancer."""
-        return [host for host in self.document.hosts if host.role is Role.BALANCER]
--- a/src/heatheryoke/measure/upstream_model.py
+++ b/src/heatheryoke/measure/upstream_model.py
@@ -72,7 +72,6 @@
         self.is_up = True
         self.overloaded_since: float | None = None
         self.feeds: dict[tuple[int, bytes], PlainMessage] = {}
-        self.ports: set[int] = set()
         self.notified = 0
         scheduler.after(self.random.random() * traits.notify_s, self.notify)
 
@@ -159,13 +158,13 @@
             if not self.send(port, news.encode()):
                 del self.feeds[port, token]
 
-    def restart(self, warm: bool = False) -> None:
-        """Lose everything and start again, cold unless told otherwise."""
+    def restart(self) -> None:
+        """Lose everything and start again, cold."""
         self.incarnation += 1
         self.is_up = False
         self.overloaded_since = None
         self.running = 0
-        self.served = self.traits.warm_requests if warm else 0
+        self.served = 0
         self.waiting.clear()
         self.feeds.clear()
         self.scheduler.after(self.traits.restart_s, self.come_up)
