Hand out no port twice, and none that the system gives away

Cause: the run of all checks in a fresh clone ended with an error in one scenario's start: with about 50 addresses drawn from the system's own range and released again, one was now and then drawn twice, or taken by a caller's socket before its process opened it. Change: ports come from below the system's range, checked, and never twice in a run.

--- a/src/heatheryoke/standins/site.py
+++ b/src/heatheryoke/standins/site.py
@@ -18,22 +18,35 @@
 
 LOOPBACK = "127.0.0.1"
 FIRST_START_S = 60
+FIRST_PORT = 15_000
+LAST_PORT = 32_000
+
+
+given_ports: set[int] = set()
 
 
 def free_address() -> Address:
-    """Return a loopback address whose port no UDP or TCP socket holds now."""
+    """Return a loopback address that nothing holds now and that was not returned before.
+
+    Its port lies below those that the system gives to sockets by itself, so that none of these
+    takes it before it is opened.
+    """
     while True:
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
-        ):
-            datagrams.bind((LOOPBACK, 0))
-            port = datagrams.getsockname()[1]
+        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        if port not in given_ports and _is_free(port):
+            given_ports.add(port)
+            return Address(LOOPBACK, port)
+
+
+def _is_free(port: int) -> bool:
+    """Tell whether neither a UDP nor a TCP socket holds a port."""
+    for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
             try:
-                stream.bind((LOOPBACK, port))
+                probe.bind((LOOPBACK, port))
             except OSError:
-                continue
-            return Address(LOOPBACK, port)
+                return False
+    return True
 
 
 class Site:
