Keep a feed's registration with two hosts beside its owner; forget what a withdrawal made stale

Cause: (1) an owner that is a home itself had one other keeper; when that one was restarted while the owner was paused, nobody knew the flow. (2) A home that came back with its domain still had its entries from before the withdrawal, and sent a flow to its owner of then. Ruled out: order of epochs (all processes were at the newest). Change: a third host keeps registrations of feeds; a withdrawn home clears its directory, the others forget withdrawn owners; the test fails on the code before. Also: a settings file that cannot be read is reported without an empty section.

--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -57,7 +57,10 @@
         if self.withdrawn:
             effects = self.reset_flows(list(self.flows.flows.values()), now)
             self.registrar.clear()
+            self.directory.clear()
             return effects
+        if self.topology.withdrawn:
+            self.directory.forget_owners(self.topology.is_withdrawn)
         effects = self.drop_moved_services(now)
         if self.recovery.started is None:
             effects += self.recovery.begin(self.topology.peers_of(self.host_name), now)
--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -1,6 +1,7 @@
 """A home's soft state: which host owns each flow."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
 
@@ -97,6 +98,18 @@
         del self.entries[flow]
         return True
 
+    def clear(self) -> None:
+        """Forget everything."""
+        self.entries.clear()
+        self.tentative.clear()
+
+    def forget_owners(self, is_gone: Callable[[str], bool]) -> None:
+        """Drop every entry whose owner is gone for good."""
+        for table in (self.entries, self.tentative):
+            gone = [flow for flow, entry in table.items() if is_gone(entry.registration.owner)]
+            for flow in gone:
+                del table[flow]
+
     def remove(self, flow: FlowKey) -> None:
         """Drop a flow's entries."""
         self.entries.pop(flow, None)
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -34,6 +34,7 @@
         "flow",
         "generation",
         "homes",
+        "keepers",
         "local_port",
         "opened",
         "service",
@@ -49,6 +50,7 @@
         self.answered = False
         self.feeds: dict[bytes, bytes] = {}
         self.homes: tuple[str, ...] = ()
+        self.keepers: tuple[str, ...] = ()
         self.answers: OrderedDict[int, bytes] | None = None
 
     def remember(self, message_id: int, answer: bytes) -> None:
@@ -196,9 +198,16 @@
         return not self.outbox and not self.unacknowledged and not self.first
 
     def register(self, owned: OwnedFlow, topology: Topology) -> None:
-        """Queue a flow's registration at each of its homes but this host."""
-        homes = topology.view(owned.service).homes(owned.flow)
-        owned.homes = tuple(home.name for home in homes)
+        """Queue a flow's registration at each of its homes but this host.
+
+        A flow with a feed is kept by two other hosts, even if this one is a home: else the failure
+        of one host while this one is paused would leave nobody who knows it.
+        """
+        view = topology.view(owned.service)
+        owned.homes = tuple(home.name for home in view.homes(owned.flow))
+        owned.keepers = owned.homes
+        if owned.feeds:
+            owned.keepers = tuple(h.name for h in view.keepers(owned.flow, self.host_name))
         self.queue(owned, owned.registration(self.host_name))
 
     def close(self, owned: OwnedFlow) -> None:
@@ -206,8 +215,8 @@
         self.queue(owned, owned.registration(self.host_name, closed=True))
 
     def queue(self, owned: OwnedFlow, row: Registration) -> None:
-        """Queue one registration for a flow's homes."""
-        for home in owned.homes:
+        """Queue one registration for the hosts that keep a flow."""
+        for home in owned.keepers:
             if home != self.host_name:
                 self.outbox.setdefault(home, {})[owned.flow] = row
 
--- a/src/heatheryoke/core/topology.py
+++ b/src/heatheryoke/core/topology.py
@@ -41,6 +41,11 @@
         """Return the hosts that keep the flow's directory entry."""
         return _spread(self.ranked(flow), HOME_COUNT)
 
+    def keepers(self, flow: FlowKey, owner: str) -> list[Host]:
+        """Return the hosts beside the owner that keep its registration: homes and a reserve."""
+        spread = _spread(self.ranked(flow), HOME_COUNT + 1)
+        return [host for host in spread if host.name != owner][:HOME_COUNT]
+
     def witnesses(self, request_id: bytes) -> list[Host]:
         """Return the hosts that keep the claims of a request id."""
         return _spread(self.ranked(b"claim:" + request_id), WITNESS_COUNT)
--- a/src/heatheryoke/daemons/settings.py
+++ b/src/heatheryoke/daemons/settings.py
@@ -34,6 +34,8 @@
     reason: str
 
     def __str__(self) -> str:
+        if not self.section:
+            return f"{self.file}: {self.reason}"
         return f"{self.file}: [{self.section}] {self.key} = {self.value!r}: {self.reason}"
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -25,7 +25,7 @@
     PeerMessageArrived,
 )
 from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key
-from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Visit, Yield
+from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Registration, Visit, Yield
 from heatheryoke.core.ownership import FIRST_REGISTRATION_S
 from heatheryoke.core.requests import RequestKind
 from heatheryoke.inventory.checks import short_id
@@ -199,6 +199,22 @@
         assert of_kind(node.reduce(ConfigurationOffered(NOW, changed)), CloseFlow)
         assert not of_kind(node.reduce(forward(flow_to(main), main, assigned=True)), Deliver)
 
+    def test_what_a_home_knew_before_a_withdrawal_is_forgotten(self):
+        published = document()
+        flow = flow_to(published.services[0])
+        row = Registration(flow, "upstream-3", 0, 40_000, True, False, ())
+        for domain in ("domain-1", "domain-3"):
+            node = make_agent(published)
+            node.directory.register(row, NOW)
+            for version, withdrawn in ((2, True), (3, False)):
+                domains = tuple(
+                    each._replace(withdrawn=withdrawn and each.name == domain)
+                    for each in published.failure_domains
+                )
+                changed = published._replace(version=version, failure_domains=domains)
+                node.reduce(ConfigurationOffered(NOW, changed))
+            assert node.directory.find(flow, NOW) is None
+
     def test_the_hop_limit_ends_a_loop(self):
         published = document()
         main = published.services[0]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -56,6 +56,10 @@
         assert isinstance(result, Failure)
         assert [(row.section, row.key) for row in result.failure()] == [(section, key)]
 
+    def test_a_file_that_cannot_be_read_is_one_problem(self, tmp_path):
+        (problem,) = read_settings(tmp_path / "absent.ini", Role.AGENT).failure()
+        assert str(problem).startswith(f"{tmp_path / 'absent.ini'}: [Errno 2]")
+
     def test_reports_every_fault_at_once(self, tmp_path):
         text = VALID.replace("7001", "0").replace("http://", "")
         assert len(self.read(tmp_path, text).failure()) == 2
