Do not say "not run" of a write that has waited long

Trace: the holder of a claim was paused for 12 s and its failure domain withdrawn; on waking it refused the write it had queued as not run, and gave the claim back, while its caller's repeat was being claimed by another host, which then ran it. Ruled out: a wrong claim (the write ran once). Change: after 1.5 s, when callers may have sent a write again, the answer is "unknown", which always holds; the claim is given back as before. The queue's own refusals come within 1 s.

--- a/src/heatheryoke/core/request_desk.py
+++ b/src/heatheryoke/core/request_desk.py
@@ -34,6 +34,7 @@
 __all__ = ["RequestDesk", "spread"]
 
 DEFAULT_TIMEOUT_S = 30.0
+REPEAT_AGE_S = 1.5
 START_WINDOW_S = 30.0
 RequestId = tuple[FlowKey, bytes]
 Handler = Callable[[OwnedFlow, Request, bytes, float], list[Effect]]
@@ -223,14 +224,21 @@
         ]
 
     def refuse(self, active: ActiveRequest, reason: RefusalReason, now: float) -> list[Effect]:
-        """Give a request its final answer at once, with when to come back."""
+        """Give a request its final answer at once, with when to come back.
+
+        A write that has waited long may have been sent again by its caller, and may be run by
+        another host from now on. It is not said to be not run, though its claim is given back.
+        """
+        never_started = reason.not_run
+        if active.request.request_id and now - active.arrived > REPEAT_AGE_S:
+            reason = RefusalReason.OUTCOME_UNKNOWN
         self.pending.pop((active.flow, active.request.token), None)
         retry_s = self.admission(active.service, now).retry_s(now)
         answer = self.codec_of(active.service).refusal(
             active.payload, reason, spread(retry_s, active)
         )
         effects: list[Effect] = [Count(f"refused_{reason.name.lower()}")]
-        if active.attempt and reason.not_run:
+        if active.attempt and never_started:
             effects += self.claims.refuse_run(active, reason, now)
         if answer:
             self.remember(active, answer)
--- a/src/heatheryoke/core/write_claims.py
+++ b/src/heatheryoke/core/write_claims.py
@@ -167,7 +167,7 @@
 
     def refuse_run(self, active: ActiveRequest, reason: RefusalReason, now: float) -> list[Effect]:
         """Give back the claim of a request that is refused, and refuse those that wait for it."""
-        effects = self.release(active, True, now)
+        effects = self.release(active, reason.not_run, now)
         for waiting in self.waiting.pop(active.request.request_id, []):
             effects += self.outcomes.refuse(waiting, reason, now)
         return effects
--- a/tests/test_request_engine.py
+++ b/tests/test_request_engine.py
@@ -6,10 +6,17 @@
 from heatheryoke.core.history import TopologyHistory
 from heatheryoke.core.ownership import OwnedFlow, OwnedFlows
 from heatheryoke.core.request_engine import RequestEngine
-from heatheryoke.core.requests import RequestKind
+from heatheryoke.core.requests import RefusalReason, RequestKind
 from heatheryoke.core.topology import Topology
 from heatheryoke.inventory.document import Address, Protocol
-from heatheryoke.measure.plain_codec import ANSWER, REFUSAL, REQUEST, PlainCodec, PlainMessage
+from heatheryoke.measure.plain_codec import (
+    ANSWER,
+    REFUSAL,
+    REQUEST,
+    UNKNOWN,
+    PlainCodec,
+    PlainMessage,
+)
 from heatheryoke.standins.deployments import DEPLOYMENTS, make_document
 
 
@@ -134,6 +141,15 @@
         assert [row.phase for row in refusals if row.token == hold.token] == [REFUSAL]
         assert bench.engine.claims.witness.claims == {}
 
+    def test_a_write_that_has_waited_long_is_not_said_to_be_not_run(self, bench):
+        bench.send(bench.message(RequestKind.READ))
+        hold = bench.message(request_id=b"id")
+        bench.send(hold)
+        effects = bench.engine.reset({bench.owned.flow}, RefusalReason.WITHDRAWN, 5.0)
+        phases = [row.phase for row in answered(effects) if row.token == hold.token]
+        assert phases == [UNKNOWN]
+        assert bench.engine.claims.witness.claims == {}
+
 
 class TestAnswers:
     def test_an_answer_without_a_request_is_dropped(self, bench):
