Part what every process shares from the ring of peers, and flows from requests

Cause: the reducers tie each flow to the ring of watchers, to epochs from peers and to CoAP requests, none of which every deployment needs. Ruled out: a second set of reducers; the directory, placement and ownership would stand twice. Change: Node is the bare reducer, RingNode adds peers; Forwarder and Home carry flows, RequestHome adds requests. No decision changes. Conclusion: routing, epoch, claim, membership and request tests pass unchanged.

--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -12,7 +12,6 @@
     PeerMessageArrived,
 )
 from heatheryoke.core.handover import Handover, HandoverLog
-from heatheryoke.core.home import Home
 from heatheryoke.core.messages import (
     ClaimHandover,
     ClaimHandoverAck,
@@ -23,6 +22,7 @@
 )
 from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.core.recovery import Recovery, recovery_replies
+from heatheryoke.core.request_home import RequestHome
 
 __all__ = ["Agent"]
 
@@ -30,7 +30,7 @@
 STOP_LIMIT_S = 25.0
 
 
-class Agent(Home):
+class Agent(RequestHome):
     """Owner, home and witness, beside one upstream host."""
 
     def __init__(self, host_name: str, incarnation: int, started: float, *arguments, **options):
--- a/src/heatheryoke/core/balancer.py
+++ b/src/heatheryoke/core/balancer.py
@@ -1,93 +1,17 @@
 """The balancer's reducer: passes each caller's packet to its flow's owner or home."""
 
-from collections import OrderedDict
-
-from heatheryoke.core.effects import Count, Effect, SendForward
-from heatheryoke.core.events import CallerPacket, PeerMessageArrived
-from heatheryoke.core.flows import FlowKey, PacketKind
-from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint
-from heatheryoke.core.node import Node
-from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.document import Address, Host, Service
+from heatheryoke.core.effects import Effect
+from heatheryoke.core.forwarder import Forwarder
+from heatheryoke.core.ring_node import RingNode
 
 __all__ = ["Balancer"]
 
-MAXIMUM_HINTS = 200_000
 STOP_LINGER_S = 1.0
-NO_ADDRESS = Address("0.0.0.0", 0)
 
 
-class Balancer(Node):
+class Balancer(Forwarder, RingNode):
     """Holds the configuration in force and a bounded cache of flow owners; nothing else."""
 
-    def __init__(
-        self,
-        host_name: str,
-        incarnation: int,
-        address: Address = NO_ADDRESS,
-        seeds: tuple[Address, ...] = (),
-        maximum_hints: int = MAXIMUM_HINTS,
-    ):
-        super().__init__(host_name, incarnation, seeds)
-        self.address = address
-        self.maximum_hints = maximum_hints
-        self.hints: OrderedDict[FlowKey, int] = OrderedDict()
-        self.event_handlers[CallerPacket] = self.on_caller_packet
-        self.message_handlers[Hint] = self.on_hint
-
-    def on_caller_packet(self, event: CallerPacket) -> list[Effect]:
-        """Send a caller's packet towards its owner."""
-        if self.is_muted():
-            return [Count("dropped_unconfirmed")]
-        service = self.topology.service_of(event.flow)
-        if service is None:
-            return [Count("dropped_unknown_service")]
-        host = self.next_host(event.flow, service)
-        if host is None:
-            return [Count("dropped_no_host")]
-        if event.kind is PacketKind.CLOSES:
-            self.hints.pop(event.flow, None)
-        message = Forward(
-            event.flow,
-            short_id(service.name),
-            event.kind,
-            HOP_LIMIT,
-            self.address,
-            event.payload,
-        )
-        return [SendForward(host.address, message)]
-
-    def next_host(self, flow: FlowKey, service: Service) -> Host | None:
-        """Return the cached owner if it may be sent to, else the first home that answers."""
-        owner = self.hinted(flow)
-        if owner is not None and (service.name, owner.name) in self.topology.endpoints:
-            return owner
-        homes = self.topology.view(service.name).homes(flow)
-        for home in homes:
-            if not self.membership.is_suspected(home.name):
-                return home
-        return homes[0] if homes else None
-
-    def hinted(self, flow: FlowKey) -> Host | None:
-        """Return the owner in the cache, unless it is withdrawn, gone or suspected."""
-        owner_id = self.hints.get(flow)
-        if owner_id is None:
-            return None
-        owner = self.topology.hosts_by_id.get(owner_id)
-        if owner is None or not self.is_usable(owner):
-            del self.hints[flow]
-            return None
-        self.hints.move_to_end(flow)
-        return owner
-
-    def on_hint(self, event: PeerMessageArrived) -> list[Effect]:
-        """Cache an owner; the entry used longest ago makes room."""
-        self.hints[event.message.flow] = event.message.owner_id
-        self.hints.move_to_end(event.message.flow)
-        if len(self.hints) > self.maximum_hints:
-            self.hints.popitem(last=False)
-        return [Count("hints")]
-
     def on_topology(self, now: float) -> list[Effect]:
         """Keep the cache; each entry is checked when it is used."""
         return []
--- a/src/heatheryoke/core/home.py
+++ b/src/heatheryoke/core/home.py
@@ -2,11 +2,10 @@
 
 from abc import abstractmethod
 from math import inf
+from typing import Any
 
 from heatheryoke.core.directory import Directory, Entry, Outcome, precedes
 from heatheryoke.core.effects import (
-    AnswerCaller,
-    BindFlow,
     Count,
     Effect,
     SendForward,
@@ -28,18 +27,15 @@
 from heatheryoke.core.owner import Owner
 from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.core.placement import LeastOfVisited, Offers, Placement, SeenLoads
-from heatheryoke.core.requests import RefusalReason, RequestKind
 from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.document import Address, Host, Service
+from heatheryoke.inventory.document import Address, Endpoint, Host, Service
 
 __all__ = ["OWNER_GIVE_UP_S", "TAKEOVER_GRACE_S", "Home"]
 
 TAKEOVER_GRACE_S = 2.0
 OWNER_GIVE_UP_S = 10.0
-OUTSTANDING_WEIGHT = 2.0
 OFFER_S = 0.02
 SEEN_LOAD_S = 2.0
-NO_ROOM_RETRY_S = 2.0
 
 
 class Home(Owner):
@@ -50,11 +46,10 @@
         host_name: str,
         incarnation: int,
         started: float,
-        *arguments,
         placement: Placement | None = None,
-        **options,
+        **options: Any,
     ):
-        super().__init__(host_name, incarnation, started, *arguments, **options)
+        super().__init__(host_name, incarnation, started, **options)
         self.directory = Directory()
         self.placement = placement or LeastOfVisited()
         self.offers = Offers(OFFER_S)
@@ -66,13 +61,41 @@
     def has_recovered_flows(self, now: float) -> bool:
         """Tell whether the directory knows what this host's former process knew."""
 
+    @abstractmethod
+    def former_homes(self, service: str, flow: FlowKey, now: float, within_s: float) -> list[Host]:
+        """Return a flow's homes of `within_s` ago, none if they are the present ones."""
+
+    @abstractmethod
+    def suspected_for(self, host_name: str, now: float) -> float:
+        """Return for how many seconds a host has been suspected, 0 if it is not."""
+
+    @abstractmethod
+    def opens_feed(self, message: Forward, service: Service) -> bool:
+        """Tell whether a new flow is meant to last."""
+
+    @abstractmethod
+    def load(self, service: str, opens_feed: bool, now: float) -> float:
+        """Return this host's load for placement, infinite where it takes no new flows."""
+
+    @abstractmethod
+    def refuse_flow(self, message: Forward, service: Service) -> list[Effect]:
+        """Tell the caller of a flow that it has no place."""
+
+    @abstractmethod
+    def bind_flow(self, owned: OwnedFlow, endpoint: Endpoint) -> list[Effect]:
+        """Prepare the way of a new flow's packets to the upstream."""
+
+    @abstractmethod
+    def spare_flow(self, service: str, now: float) -> OwnedFlow | None:
+        """Return an idle flow that can make room for a new one, None without one."""
+
     def forget_entry(self, flow: FlowKey) -> None:
         """Remove a flow from the directory."""
         self.directory.remove(flow)
 
     def on_forward(self, event: ForwardArrived) -> list[Effect]:
         """Deliver a caller's packet if this host owns its flow, else pass it on."""
-        effects = self.configuration.request_from(event.sender, event.epoch, event.now)
+        effects = self.note_peer_epoch(event)
         if self.is_muted():
             return [*effects, Count("dropped_unconfirmed")]
         message = event.message
@@ -131,7 +154,7 @@
             return True
         if (service.name, owner) not in self.topology.endpoints:
             return True
-        return self.membership.suspected_for(owner, now) > OWNER_GIVE_UP_S
+        return self.suspected_for(owner, now) > OWNER_GIVE_UP_S
 
     def pass_to_owner(
         self, message: Forward, service: Service, entry: Entry, now: float
@@ -161,7 +184,7 @@
         recovering = not self.has_recovered_flows(now)
         if message.deputed:
             return None if recovering else own
-        former = self.history.former_homes(service.name, message.flow, now, TAKEOVER_GRACE_S)
+        former = self.former_homes(service.name, message.flow, now, TAKEOVER_GRACE_S)
         usable = [home for home in former if self.is_usable(home)]
         if usable:
             return usable[0]
@@ -179,8 +202,7 @@
         """Add this host's offer to a new flow's packet; pass it on or choose the owner."""
         view = self.topology.view(service.name)
         candidates = [host for host in view.candidates(message.flow) if self.is_usable(host)]
-        request = self.engine.codec_of(service.name).read_request(message.payload)
-        opens_feed = request is not None and request.kind is RequestKind.FEED
+        opens_feed = self.opens_feed(message, service)
         visit = Visit(short_id(self.host_name), self.load(service.name, opens_feed, now))
         if not opens_feed:
             self.seen_loads.note(service.name, message.visited, now)
@@ -211,39 +233,6 @@
         others = self.seen_loads.mean(service, candidates[1:], now)
         return others is not None and load <= others
 
-    def load(self, service: str, opens_feed: bool, now: float) -> float:
-        """Return this host's load for placement, infinite where it takes no new flows.
-
-        Flows that live count by what the upstream can bear now. So does outstanding work, but not
-        for a flow that opens a feed: it will stay long after that work is done.
-        """
-        endpoint = self.topology.endpoints.get((service, self.host_name))
-        host = self.topology.hosts[self.host_name]
-        if endpoint is None or self.stopping_since is not None:
-            return inf
-        if not self.topology.is_placeable(host):
-            return inf
-        flows = self.flows.count(service)
-        if flows >= endpoint.connections and self.spare_flow(service, now) is None:
-            return inf
-        admission = self.engine.admission(service, now)
-        live = self.flows.live(service, now)
-        if not opens_feed:
-            live += OUTSTANDING_WEIGHT * admission.outstanding
-        bears = endpoint.weight * min(1.0, admission.limit / admission.slots)
-        return (live + self.offers.count(now)) / bears
-
-    def refuse_flow(self, message: Forward, service: Service) -> list[Effect]:
-        """Tell the caller of a flow that has no place when to come back."""
-        codec = self.engine.codec_of(service.name)
-        request = codec.read_request(message.payload)
-        counted: list[Effect] = [Count("flows_refused")]
-        if request is None or request.kind is RequestKind.CONTROL:
-            return counted
-        reason = RefusalReason.OUTCOME_UNKNOWN if request.request_id else RefusalReason.NO_ROOM
-        answer = codec.refusal(message.payload, reason, NO_ROOM_RETRY_S)
-        return [*counted, AnswerCaller(message.flow, answer)]
-
     def own(self, message: Forward, service: Service, generation: int, now: float) -> list[Effect]:
         """Become the owner of a flow and deliver its packet."""
         endpoint = self.topology.endpoints.get((service.name, self.host_name))
@@ -259,8 +248,8 @@
         owned = OwnedFlow(message.flow, service.name, generation, message.local_port, now)
         self.adopt(owned, now)
         counted = Count("flows_opened" if is_new else "flows_readopted")
-        bind = BindFlow(message.flow, endpoint.address, message.local_port)
-        return [*effects, counted, bind, *self.deliver(owned, message, now)]
+        bound = self.bind_flow(owned, endpoint)
+        return [*effects, counted, *bound, *self.deliver(owned, message, now)]
 
     def on_registrations(self, event: PeerMessageArrived) -> list[Effect]:
         """Take an owner's registrations, acknowledge them, and settle rival owners."""
--- a/src/heatheryoke/core/node.py
+++ b/src/heatheryoke/core/node.py
@@ -1,51 +1,24 @@
-"""What both roles share: one reducer over all events, configuration, membership, the clock."""
+"""What every process shares: one reducer over all events, with pauses and a graceful stop."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any
 
-from returns.result import Success
-
-from heatheryoke.core.configuration import POLL_S, Configuration, is_platform_watcher
-from heatheryoke.core.effects import (
-    Count,
-    DiscardQueued,
-    Effect,
-    FetchConfiguration,
-    LogChange,
-    SendForward,
-    SendPeer,
-    Stopped,
-)
+from heatheryoke.core.effects import Effect, LogChange
 from heatheryoke.core.events import (
     ConfigurationOffered,
     Event,
     PeerMessageArrived,
-    PlatformUnavailable,
     StopRequested,
     Tick,
 )
-from heatheryoke.core.membership import Membership
-from heatheryoke.core.messages import (
-    Accusations,
-    ConfigurationPart,
-    ConfigurationRequest,
-    EpochNotice,
-    Heartbeat,
-)
 from heatheryoke.core.topology import Topology
-from heatheryoke.inventory.document import Address, Document, Host
+from heatheryoke.inventory.document import Host
 
-__all__ = ["PAUSE_S", "TICK_S", "Node"]
+__all__ = ["PAUSE_S", "TICK_S", "Handler", "Node"]
 
 TICK_S = 0.05
 PAUSE_S = 1.0
-CONFIRM_RETRY_S = 0.5
-CONFIRM_PEERS = 3
-BOOTSTRAP_LIMIT_S = 8.0
-CONFIRM_WIDEN_S = 2.0
-WITHDRAWAL_NEWS_S = 4.0
-CONFIGURATION_MESSAGES = (EpochNotice, ConfigurationRequest, ConfigurationPart)
 
 Handler = Callable[[Any], list[Effect]]
 
@@ -53,61 +26,54 @@
 class Node(ABC):
     """A reducer: takes one event at a time and returns the effects to carry out.
 
-    A gap of `PAUSE_S` between events means that the process was paused. It then drops what had
-    queued up, until a peer or the platform has confirmed the epoch.
+    A gap of `PAUSE_S` between events means that the process was paused.
     """
 
-    def __init__(self, host_name: str, incarnation: int, seeds: tuple[Address, ...] = ()):
+    def __init__(self, host_name: str, incarnation: int):
         self.host_name = host_name
-        self.seeds = seeds
-        self.membership = Membership(host_name, incarnation)
-        self.configuration = Configuration()
+        self.incarnation = incarnation
         self.last_event: float | None = None
-        self.confirming = False
-        self.confirm_at = 0.0
-        self.resumed_at = 0.0
-        self.paused_until_tick = False
-        self.next_poll = 0.0
-        self.bootstrap_delay_s = CONFIRM_RETRY_S
         self.stopping_since: float | None = None
-        self.pending_span = 0
-        self.withdrawn_since: dict[str, float] = {}
         self.event_handlers: dict[type, Handler] = {
             Tick: self.on_tick,
-            PeerMessageArrived: self.on_peer_message,
             ConfigurationOffered: self.on_configuration,
-            PlatformUnavailable: self.on_platform_unavailable,
             StopRequested: self.on_stop,
         }
-        self.message_handlers: dict[type, Callable[[PeerMessageArrived], list[Effect]]] = {
-            Heartbeat: self.on_heartbeat,
-            Accusations: self.on_accusations,
-            EpochNotice: self.on_epoch_notice,
-            ConfigurationRequest: self.on_configuration_request,
-            ConfigurationPart: self.on_configuration_part,
-        }
+        self.message_handlers: dict[type, Callable[[PeerMessageArrived], list[Effect]]] = {}
 
     @property
+    @abstractmethod
     def topology(self) -> Topology | None:
         """The configuration in force, None before the first."""
-        return self.configuration.topology
 
     @property
+    @abstractmethod
     def epoch(self) -> int:
         """The version in force; every message carries it."""
-        return self.configuration.version
 
     @abstractmethod
-    def on_topology(self, now: float) -> list[Effect]:
-        """Adapt to a configuration that has just come into force."""
+    def is_muted(self) -> bool:
+        """Tell whether callers' packets must be dropped: the view may be old, or is missing."""
+
+    @abstractmethod
+    def is_usable(self, host: Host) -> bool:
+        """Tell whether a host may be sent callers' packets."""
+
+    @abstractmethod
+    def on_tick(self, event: Tick) -> list[Effect]:
+        """Run what is due."""
 
     @abstractmethod
-    def on_resume(self, now: float) -> list[Effect]:
+    def on_configuration(self, event: ConfigurationOffered) -> list[Effect]:
+        """Take what was read from the platform."""
+
+    @abstractmethod
+    def after_pause(self, now: float, paused_s: float) -> list[Effect]:
         """Adapt to having been paused."""
 
     @abstractmethod
-    def advance(self, now: float) -> list[Effect]:
-        """Do the role's own periodic work."""
+    def note_peer_epoch(self, event: Any) -> list[Effect]:
+        """Compare the epoch of a peer's message with the one in force."""
 
     @abstractmethod
     def is_idle(self, now: float) -> bool:
@@ -117,153 +83,14 @@
         """Take one event; return the effects, in order."""
         effects = self.notice_pause(event.now)
         effects += self.event_handlers[type(event)](event)
-        if self.topology is not None and self.topology.withdrawn:
-            return [effect for effect in effects if self.may_send(effect)]
         return effects
 
-    def may_send(self, effect: Effect) -> bool:
-        """Tell whether an effect sends nothing into another, withdrawn failure domain.
-
-        News of the withdrawal itself may enter it for `WITHDRAWAL_NEWS_S`; of what follows its
-        processes learn from the platform, and from each other.
-        """
-        if not isinstance(effect, SendPeer | SendForward):
-            return True
-        target = self.topology.hosts_by_address.get(effect.to)
-        if target is None or target.failure_domain not in self.topology.withdrawn:
-            return True
-        own = self.topology.hosts.get(self.host_name)
-        if own is not None and own.failure_domain == target.failure_domain:
-            return True
-        since = self.withdrawn_since.get(target.failure_domain, self.last_event)
-        is_news = isinstance(effect.message, CONFIGURATION_MESSAGES)
-        return is_news and self.last_event - since < WITHDRAWAL_NEWS_S
-
-    def is_muted(self) -> bool:
-        """Tell whether callers' packets must be dropped: the view may be old, or is missing."""
-        return self.confirming or self.topology is None
-
-    def is_usable(self, host: Host) -> bool:
-        """Tell whether a host may be sent callers' packets."""
-        withdrawn = self.topology.is_withdrawn(host.name)
-        return not withdrawn and not self.membership.is_suspected(host.name)
-
     def notice_pause(self, now: float) -> list[Effect]:
-        """Compare the time with the last event's; begin confirming after a pause."""
+        """Compare the time with the last event's."""
         last, self.last_event = self.last_event, now
         if last is None or now - last < PAUSE_S:
             return []
-        self.confirming = True
-        self.confirm_at = now
-        self.resumed_at = now
-        self.paused_until_tick = True
-        self.membership.forgive_all(now)
-        resumed = [
-            DiscardQueued(),
-            Count("pauses"),
-            LogChange(self.host_name, "paused", f"{now - last:.1f} s"),
-        ]
-        return [*resumed, *self.on_resume(now)]
-
-    def confirm_effects(self, now: float) -> list[Effect]:
-        """Ask the platform and peers which epoch is in force.
-
-        Peers of other failure domains, which may be withdrawn by now, are asked only when neither
-        the platform nor the own domain answers.
-        """
-        if not self.confirming or now < self.confirm_at:
-            return []
-        self.confirm_at = now + CONFIRM_RETRY_S
-        request = ConfigurationRequest(self.epoch)
-        widen = now - self.resumed_at > CONFIRM_WIDEN_S
-        peers = self.seeds if self.topology is None else self.confirming_peers(widen)
-        return [FetchConfiguration(), *(SendPeer(peer, request) for peer in peers)]
-
-    def confirming_peers(self, widen: bool) -> list[Address]:
-        """Return the peers to ask for the epoch in force."""
-        if widen:
-            return [host.address for host in self.membership.neighbours(+1)]
-        own = self.topology.hosts.get(self.host_name)
-        neighbours = [
-            host.address
-            for host in self.topology.ring
-            if own and host is not own and host.failure_domain == own.failure_domain
-        ]
-        return neighbours[:CONFIRM_PEERS]
-
-    def confirmed(self) -> list[Effect]:
-        """End the confirmation that followed a pause."""
-        if not self.confirming or self.paused_until_tick or self.configuration.is_behind():
-            return []
-        self.confirming = False
-        return [LogChange(self.host_name, "resumed", f"epoch {self.epoch} confirmed")]
-
-    def on_tick(self, event: Tick) -> list[Effect]:
-        """Run what is due."""
-        now = event.now
-        effects = self.confirm_effects(now)
-        self.paused_until_tick = False
-        if self.confirming:
-            return effects
-        if self.topology is None:
-            return effects + self.bootstrap(now)
-        effects += self.membership.tick(now)
-        effects += self.poll(now)
-        effects += self.advance(now)
-        if self.stopping_since is not None and self.is_idle(now):
-            effects.append(Stopped())
-        return effects
-
-    def bootstrap(self, now: float) -> list[Effect]:
-        """Look for a first configuration at the platform and at the peers named in settings.
-
-        The attempts grow rarer, so that a fleet that starts at once spares the platform.
-        """
-        if now < self.next_poll:
-            return []
-        self.next_poll = now + self.bootstrap_delay_s
-        self.bootstrap_delay_s = min(BOOTSTRAP_LIMIT_S, 2 * self.bootstrap_delay_s)
-        requests = [SendPeer(peer, ConfigurationRequest(0)) for peer in self.seeds]
-        return [FetchConfiguration(), *requests]
-
-    def poll(self, now: float) -> list[Effect]:
-        """Read the platform now and then, in case news was lost."""
-        if now < self.next_poll:
-            return []
-        self.next_poll = now + POLL_S
-        return [FetchConfiguration()]
-
-    def watches_platform(self) -> bool:
-        """Tell whether this process should keep a watch open at the platform."""
-        suspected = set(self.membership.suspected_since)
-        return is_platform_watcher(self.topology, self.host_name, suspected)
-
-    def on_configuration(self, event: ConfigurationOffered) -> list[Effect]:
-        """Take a document that was read from the platform."""
-        if event.document.version < self.epoch:
-            return [Count("configurations_older")]
-        effects = self.take(event.document, event.now, self.membership.full_span)
-        return effects + self.confirmed()
-
-    def take(self, document: Document, now: float, span: Callable[[], int]) -> list[Effect]:
-        """Bring a newer document into force and pass the news on."""
-        previous = self.topology
-        if not self.configuration.accept(document):
-            return []
-        self.membership.use(self.topology, now)
-        self.withdrawn_since = {
-            domain: self.withdrawn_since.get(domain, now) for domain in self.topology.withdrawn
-        }
-        return [
-            Count("configurations_accepted"),
-            LogChange("configuration", f"epoch {self.epoch}", "accepted"),
-            *self.membership.announce_epoch(span(), previous),
-            *self.on_topology(now),
-        ]
-
-    def on_platform_unavailable(self, event: PlatformUnavailable) -> list[Effect]:
-        """Count a failed read; the configuration in force stays."""
-        return [Count("platform_unavailable")]
+        return self.after_pause(now, now - last)
 
     def on_stop(self, event: StopRequested) -> list[Effect]:
         """Begin a graceful stop."""
@@ -271,45 +98,3 @@
             return []
         self.stopping_since = event.now
         return [LogChange(self.host_name, "stopping", "requested")]
-
-    def on_peer_message(self, event: PeerMessageArrived) -> list[Effect]:
-        """Fetch a newer epoch if the sender has one, then handle the message."""
-        effects = self.configuration.request_from(event.sender, event.epoch, event.now)
-        if self.topology is None and type(event.message) not in CONFIGURATION_MESSAGES:
-            return [*effects, Count("dropped_no_configuration")]
-        handler = self.message_handlers.get(type(event.message))
-        if handler is None:
-            return [*effects, Count("unexpected_messages")]
-        return effects + handler(event)
-
-    def on_heartbeat(self, event: PeerMessageArrived) -> list[Effect]:
-        """Note that a watched process lives; its epoch, if as new, confirms this one's."""
-        effects = self.membership.heard(event.message, event.now)
-        return effects + (self.confirmed() if event.epoch >= self.epoch else [])
-
-    def on_accusations(self, event: PeerMessageArrived) -> list[Effect]:
-        """Merge news of silent hosts."""
-        return self.membership.merge(event.sender, event.message, event.now)
-
-    def on_epoch_notice(self, event: PeerMessageArrived) -> list[Effect]:
-        """Remember the share of the ring to inform once the newer epoch has arrived."""
-        if event.epoch > self.epoch:
-            self.pending_span = max(self.pending_span, event.message.span)
-        return self.confirmed() if event.epoch >= self.epoch else []
-
-    def on_configuration_request(self, event: PeerMessageArrived) -> list[Effect]:
-        """Send what the peer lacks, or a notice that it is up to date."""
-        if event.message.have >= self.epoch:
-            return [SendPeer(event.sender, EpochNotice(0))] if self.topology else []
-        return self.configuration.answer(event.sender, event.message)
-
-    def on_configuration_part(self, event: PeerMessageArrived) -> list[Effect]:
-        """Collect a document from a peer and take it into force when whole."""
-        collected = self.configuration.collect(event.message)
-        if collected is None:
-            return []
-        if not isinstance(collected, Success):
-            return self.configuration.fetch_after_refusal()
-        span, self.pending_span = self.pending_span, 0
-        effects = self.take(collected.unwrap(), event.now, lambda: span)
-        return effects + self.confirmed()
--- /dev/null
+++ b/src/heatheryoke/core/request_home.py
@@ -0,0 +1,249 @@
+"""The requests of an agent: admission, claims and answers for the flows that it owns."""
+
+from math import inf
+from typing import Any
+
+from heatheryoke.core.claims import CLAIM_LIFETIME_S
+from heatheryoke.core.effects import (
+    AnswerCaller,
+    BindFlow,
+    CloseFlow,
+    Count,
+    Effect,
+    LogChange,
+)
+from heatheryoke.core.events import (
+    FlowBound,
+    PeerMessageArrived,
+    UpstreamGone,
+    UpstreamPacket,
+)
+from heatheryoke.core.flows import FlowKey, service_part
+from heatheryoke.core.history import TopologyHistory
+from heatheryoke.core.home import Home
+from heatheryoke.core.messages import (
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+    Forward,
+    ResultReply,
+    ResultRequest,
+)
+from heatheryoke.core.ownership import OwnedFlow
+from heatheryoke.core.request_engine import RequestEngine
+from heatheryoke.core.requests import CodecFactory, RefusalReason, RequestKind
+from heatheryoke.core.ring_node import RingNode
+from heatheryoke.inventory.document import Address, Endpoint, Host, Protocol, Service
+
+__all__ = ["RequestHome"]
+
+OUTSTANDING_WEIGHT = 2.0
+NO_ROOM_RETRY_S = 2.0
+SPARE_IDLE_S = 5.0
+SPARE_SEARCH = 20
+
+
+class RequestHome(Home, RingNode):
+    """Reads the requests in the flows that it owns; nobody else gives its upstream work."""
+
+    engine_type: type[RequestEngine] = RequestEngine
+
+    def __init__(
+        self,
+        host_name: str,
+        incarnation: int,
+        started: float,
+        codecs: dict[Protocol, CodecFactory] | None = None,
+        seeds: tuple[Address, ...] = (),
+        unix_offset_s: float = 0.0,
+        claim_lifetime_s: float = CLAIM_LIFETIME_S,
+        first_start: bool = False,
+        **options: Any,
+    ):
+        super().__init__(host_name, incarnation, started, seeds=seeds, **options)
+        self.history = TopologyHistory(claim_lifetime_s)
+        self.engine = self.engine_type(
+            host_name,
+            incarnation,
+            self.history,
+            self.flows,
+            codecs or {},
+            started,
+            unix_offset_s,
+            claim_lifetime_s,
+        )
+        self.engine.claims.is_doubtful = self.is_doubtful
+        if first_start:
+            self.engine.claims.witness.recovered(started)
+            self.history.is_first_start = True
+        self.event_handlers |= {
+            UpstreamPacket: self.on_upstream_packet,
+            FlowBound: self.on_flow_bound,
+            UpstreamGone: self.on_upstream_gone,
+        }
+        self.message_handlers |= {
+            ClaimRequest: self.on_claim_request,
+            ClaimReply: self.on_claim_reply,
+            ClaimRelease: self.on_claim_release,
+            ResultRequest: self.on_result_request,
+            ResultReply: self.on_result_reply,
+        }
+
+    # What the owner's part asks of its requests
+
+    def take_packet(self, owned: OwnedFlow, message: Forward, now: float) -> list[Effect]:
+        """Read a caller's request and admit it."""
+        return self.engine.on_datagram(owned, message.payload, now)
+
+    def forget_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
+        """End the requests of a flow that is over."""
+        return self.engine.forget({owned.flow}, now)
+
+    def leave_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
+        """End the requests and feeds of a flow that another host owns."""
+        effects = self.engine.end_feeds(owned.flow, now)
+        return effects + self.engine.forget({owned.flow}, now)
+
+    def idle_s(self, service: str) -> float:
+        """Return for how long a silent flow of a service is kept."""
+        return self.engine.service_of(service).idle_s
+
+    def former_homes(self, service: str, flow: FlowKey, now: float, within_s: float) -> list[Host]:
+        """Return a flow's homes of `within_s` ago, none if they are the present ones."""
+        return self.history.former_homes(service, flow, now, within_s)
+
+    def suspected_for(self, host_name: str, now: float) -> float:
+        """Return for how many seconds a host has been suspected, 0 if it is not."""
+        return self.membership.suspected_for(host_name, now)
+
+    def opens_feed(self, message: Forward, service: Service) -> bool:
+        """Tell whether a new flow's packet asks for a feed."""
+        request = self.engine.codec_of(service.name).read_request(message.payload)
+        return request is not None and request.kind is RequestKind.FEED
+
+    def bind_flow(self, owned: OwnedFlow, endpoint: Endpoint) -> list[Effect]:
+        """Ask for the local port by which the upstream is to know a flow."""
+        return [BindFlow(owned.flow, endpoint.address, owned.local_port)]
+
+    def on_upstream_packet(self, event: UpstreamPacket) -> list[Effect]:
+        """Pass an upstream's datagram to the caller of its flow."""
+        owned = self.flows.flows.get(event.flow)
+        if owned is None or self.withdrawn or self.confirming:
+            return [Count("dropped_late_answers")]
+        self.flows.touch(owned, event.now)
+        feeds = len(owned.feeds)
+        effects = self.engine.on_answer(owned, event.payload, event.now)
+        if len(owned.feeds) != feeds or not owned.answered:
+            owned.answered = True
+            self.registrar.register(owned, self.topology)
+        return effects
+
+    def on_upstream_gone(self, event: UpstreamGone) -> list[Effect]:
+        """Note that nothing listens at the upstream's port."""
+        owned = self.flows.flows.get(event.flow)
+        return self.engine.on_upstream_gone(owned, event.now) if owned else []
+
+    def on_flow_bound(self, event: FlowBound) -> list[Effect]:
+        """Note the upstream's side of a flow; it is registered with its first answer, or soon."""
+        owned = self.flows.flows.get(event.flow)
+        if owned is not None:
+            owned.local_port = event.local_port
+            self.registrar.register_later(owned, event.now)
+        return []
+
+    def spare_flow(self, service: str, now: float) -> OwnedFlow | None:
+        """Return the flow that has been silent longest, if it can make room for a new one.
+
+        It has no feed and no open request; flows of protocols that are not read are never spare.
+        """
+        if self.topology.services[service].protocol is Protocol.OPAQUE:
+            return None
+        for owned in self.flows.idle(service, now - SPARE_IDLE_S, SPARE_SEARCH):
+            if not owned.feeds and not self.engine.has_pending(owned.flow):
+                return owned
+        return None
+
+    def reset_flows(self, flows: list[OwnedFlow], now: float) -> list[Effect]:
+        """End flows so that their callers come back at once."""
+        if not flows:
+            return []
+        keys = {owned.flow for owned in flows}
+        effects = self.engine.reset(keys, RefusalReason.WITHDRAWN, now)
+        for owned in flows:
+            self.flows.remove(owned.flow)
+            self.registrar.close(owned)
+            effects.append(CloseFlow(owned.flow))
+        reason = "failure domain withdrawn" if self.withdrawn else "service moved"
+        return [
+            *effects,
+            Count("flows_reset", len(flows)),
+            LogChange(self.host_name, f"{len(flows)} flows reset", reason),
+        ]
+
+    def drop_moved_services(self, now: float) -> list[Effect]:
+        """Reset the flows of services that this host serves no longer, or at another address."""
+        moved = [
+            owned
+            for owned in self.flows.flows.values()
+            if (owned.service, self.host_name) not in self.topology.endpoints
+            or service_part(owned.flow) != self.topology.service_keys[owned.service]
+        ]
+        return self.reset_flows(moved, now)
+
+    def is_doubtful(self, host_name: str) -> bool:
+        """Tell whether a witness should not be asked first: it is suspected or withdrawn."""
+        return self.membership.is_suspected(host_name) or self.topology.is_withdrawn(host_name)
+
+    def on_claim_request(self, event: PeerMessageArrived) -> list[Effect]:
+        """Answer a claim as a witness."""
+        return self.engine.claims.on_claim_request(event.sender, event.message, event.now)
+
+    def on_claim_reply(self, event: PeerMessageArrived) -> list[Effect]:
+        """Take a witness's answer."""
+        return self.engine.claims.on_claim_reply(event.message, event.now)
+
+    def on_claim_release(self, event: PeerMessageArrived) -> list[Effect]:
+        """Forget a claim that was given back."""
+        self.engine.claims.witness.release(event.message)
+        return []
+
+    def on_result_request(self, event: PeerMessageArrived) -> list[Effect]:
+        """Tell another agent what became of a request."""
+        return self.engine.claims.on_result_request(event.sender, event.message, event.now)
+
+    def on_result_reply(self, event: PeerMessageArrived) -> list[Effect]:
+        """Take another agent's answer to a request that waits here."""
+        return self.engine.claims.on_result_reply(event.message, event.now)
+
+    def load(self, service: str, opens_feed: bool, now: float) -> float:
+        """Return this host's load for placement, infinite where it takes no new flows.
+
+        Flows that live count by what the upstream can bear now. So does outstanding work, but not
+        for a flow that opens a feed: it will stay long after that work is done.
+        """
+        endpoint = self.topology.endpoints.get((service, self.host_name))
+        host = self.topology.hosts[self.host_name]
+        if endpoint is None or self.stopping_since is not None:
+            return inf
+        if not self.topology.is_placeable(host):
+            return inf
+        flows = self.flows.count(service)
+        if flows >= endpoint.connections and self.spare_flow(service, now) is None:
+            return inf
+        admission = self.engine.admission(service, now)
+        live = self.flows.live(service, now)
+        if not opens_feed:
+            live += OUTSTANDING_WEIGHT * admission.outstanding
+        bears = endpoint.weight * min(1.0, admission.limit / admission.slots)
+        return (live + self.offers.count(now)) / bears
+
+    def refuse_flow(self, message: Forward, service: Service) -> list[Effect]:
+        """Tell the caller of a flow that has no place when to come back."""
+        codec = self.engine.codec_of(service.name)
+        request = codec.read_request(message.payload)
+        counted: list[Effect] = [Count("flows_refused")]
+        if request is None or request.kind is RequestKind.CONTROL:
+            return counted
+        reason = RefusalReason.OUTCOME_UNKNOWN if request.request_id else RefusalReason.NO_ROOM
+        answer = codec.refusal(message.payload, reason, NO_ROOM_RETRY_S)
+        return [*counted, AnswerCaller(message.flow, answer)]
