--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -42,8 +42,9 @@
 class Directory:
     """Entries in order of expiry; at the bound the one nearest to it makes room."""
 
-    def __init__(self, maximum: int = MAXIMUM_ENTRIES):
+    def __init__(self, maximum: int = MAXIMUM_ENTRIES, entry_s: float = ENTRY_S):
         self.maximum = maximum
+        self.entry_s = entry_s
         self.entries: OrderedDict[FlowKey, Entry] = OrderedDict()
         self.tentative: OrderedDict[FlowKey, Entry] = OrderedDict()
 
@@ -78,7 +79,7 @@
         self.tentative.pop(row.flow, None)
         if held is None and not self.make_room(now):
             return Outcome.REFUSED
-        self.entries[row.flow] = Entry(row, now + ENTRY_S, False)
+        self.entries[row.flow] = Entry(row, now + self.entry_s, False)
         self.entries.move_to_end(row.flow)
         return Outcome.REPLACED if rival else Outcome.KEPT
 
@@ -93,7 +94,7 @@
         if len(self.entries) < self.maximum:
             return True
         flow, oldest = next(iter(self.entries.items()))
-        if oldest.expires - now > ENTRY_S - RENEWAL_S:
+        if oldest.expires - now > self.entry_s * (1 - RENEWAL_S / ENTRY_S):
             return False
         del self.entries[flow]
         return True
--- a/src/heatheryoke/core/effects.py
+++ b/src/heatheryoke/core/effects.py
@@ -1,10 +1,10 @@
 """Everything that a reducer can ask its driver to do."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.messages import Forward, PeerMessage
-from heatheryoke.inventory.document import Address
+from heatheryoke.inventory.model import Address
 
 __all__ = [
     "AnswerCaller",
@@ -16,6 +16,7 @@
     "Effect",
     "FetchConfiguration",
     "LogChange",
+    "LogFlow",
     "Measure",
     "SendForward",
     "SendPeer",
@@ -100,6 +101,14 @@
     reason: str
 
 
+class LogFlow(NamedTuple):
+    """Log a decision on a flow, with what it was made from."""
+
+    flow: FlowKey
+    decision: str
+    facts: tuple[tuple[str, Any], ...] = ()
+
+
 class Stopped(NamedTuple):
     """A graceful stop is complete; the process may end."""
 
@@ -116,5 +125,6 @@
     | Count
     | Measure
     | LogChange
+    | LogFlow
     | Stopped
 )
--- a/src/heatheryoke/core/events.py
+++ b/src/heatheryoke/core/events.py
@@ -4,7 +4,8 @@
 
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.messages import Forward, PeerMessage
-from heatheryoke.inventory.document import Address, Document
+from heatheryoke.core.records import StoreItem
+from heatheryoke.inventory.model import Address, Document
 
 __all__ = [
     "CallerPacket",
@@ -15,6 +16,8 @@
     "PeerMessageArrived",
     "PlatformUnavailable",
     "StopRequested",
+    "StoreChanged",
+    "StoreRead",
     "Tick",
     "UpstreamGone",
     "UpstreamPacket",
@@ -82,6 +85,21 @@
     """A read of the platform failed."""
 
     now: float
+    reason: str = ""
+
+
+class StoreRead(NamedTuple):
+    """Everything that the platform's store holds."""
+
+    now: float
+    items: tuple[StoreItem, ...]
+
+
+class StoreChanged(NamedTuple):
+    """Items of the platform's store that have changed."""
+
+    now: float
+    items: tuple[StoreItem, ...]
 
 
 class Tick(NamedTuple):
@@ -105,6 +123,8 @@
     | UpstreamGone
     | ConfigurationOffered
     | PlatformUnavailable
+    | StoreRead
+    | StoreChanged
     | Tick
     | StopRequested
 )
--- a/src/heatheryoke/core/flows.py
+++ b/src/heatheryoke/core/flows.py
@@ -5,7 +5,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from heatheryoke.inventory.document import Address
+from heatheryoke.inventory.model import Address
 
 __all__ = ["UDP", "FlowKey", "FlowTuple", "PacketKind", "describe_flow", "flow_key", "flow_tuple"]
 __all__ += ["service_key", "service_part"]
--- a/src/heatheryoke/core/forwarder.py
+++ b/src/heatheryoke/core/forwarder.py
@@ -9,7 +9,7 @@
 from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint
 from heatheryoke.core.node import Node
 from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.document import Address, Host, Service
+from heatheryoke.inventory.model import Address, Host, Service
 
 __all__ = ["NO_ADDRESS", "Forwarder"]
 
--- a/src/heatheryoke/core/handover.py
+++ b/src/heatheryoke/core/handover.py
@@ -9,7 +9,7 @@
 
 from heatheryoke.core.effects import Effect, SendPeer
 from heatheryoke.core.messages import ClaimHandover, ClaimHandoverDone, ClaimRecord
-from heatheryoke.inventory.document import Host
+from heatheryoke.inventory.model import Host
 
 __all__ = ["Handover", "HandoverLog"]
 
--- a/src/heatheryoke/core/history.py
+++ b/src/heatheryoke/core/history.py
@@ -10,7 +10,7 @@
 from heatheryoke.core.messages import FormerTopology
 from heatheryoke.core.topology import Topology
 from heatheryoke.inventory.changes import apply_change, decode_change, encode_change, make_change
-from heatheryoke.inventory.document import Host
+from heatheryoke.inventory.model import Host
 
 __all__ = ["TopologyHistory"]
 
--- a/src/heatheryoke/core/home.py
+++ b/src/heatheryoke/core/home.py
@@ -28,7 +28,7 @@
 from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.core.placement import LeastOfVisited, Offers, Placement, SeenLoads
 from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.document import Address, Endpoint, Host, Service
+from heatheryoke.inventory.model import Address, Endpoint, Host, Service
 
 __all__ = ["OWNER_GIVE_UP_S", "TAKEOVER_GRACE_S", "Home"]
 
@@ -65,10 +65,6 @@
     def former_homes(self, service: str, flow: FlowKey, now: float, within_s: float) -> list[Host]:
         """Return a flow's homes of `within_s` ago, none if they are the present ones."""
 
-    @abstractmethod
-    def suspected_for(self, host_name: str, now: float) -> float:
-        """Return for how many seconds a host has been suspected, 0 if it is not."""
-
     @abstractmethod
     def opens_feed(self, message: Forward, service: Service) -> bool:
         """Tell whether a new flow is meant to last."""
--- a/src/heatheryoke/core/membership.py
+++ b/src/heatheryoke/core/membership.py
@@ -8,7 +8,7 @@
 from heatheryoke.core.effects import Count, Effect, LogChange, SendPeer
 from heatheryoke.core.messages import Accusation, Accusations, EpochNotice, Heartbeat
 from heatheryoke.core.topology import Segment, Topology
-from heatheryoke.inventory.document import Address, Host
+from heatheryoke.inventory.model import Address, Host
 
 __all__ = ["HEARTBEAT_S", "SILENCE_S", "Membership", "relay_targets", "watch_offsets"]
 
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from heatheryoke.core.flows import FlowKey, PacketKind
-from heatheryoke.inventory.document import Address
+from heatheryoke.inventory.model import Address
 
 __all__ = [
     "HOP_LIMIT",
@@ -39,7 +39,7 @@
     "Yield",
 ]
 
-HOP_LIMIT = 8
+HOP_LIMIT = 12
 
 
 class Visit(NamedTuple):
--- a/src/heatheryoke/core/node.py
+++ b/src/heatheryoke/core/node.py
@@ -6,14 +6,13 @@
 
 from heatheryoke.core.effects import Effect, LogChange
 from heatheryoke.core.events import (
-    ConfigurationOffered,
     Event,
     PeerMessageArrived,
     StopRequested,
     Tick,
 )
 from heatheryoke.core.topology import Topology
-from heatheryoke.inventory.document import Host
+from heatheryoke.inventory.model import Host
 
 __all__ = ["PAUSE_S", "TICK_S", "Handler", "Node"]
 
@@ -36,7 +35,6 @@
         self.stopping_since: float | None = None
         self.event_handlers: dict[type, Handler] = {
             Tick: self.on_tick,
-            ConfigurationOffered: self.on_configuration,
             StopRequested: self.on_stop,
         }
         self.message_handlers: dict[type, Callable[[PeerMessageArrived], list[Effect]]] = {}
@@ -60,12 +58,12 @@
         """Tell whether a host may be sent callers' packets."""
 
     @abstractmethod
-    def on_tick(self, event: Tick) -> list[Effect]:
-        """Run what is due."""
+    def suspected_for(self, host_name: str, now: float) -> float:
+        """Return for how many seconds a host has been suspected, 0 if it is not."""
 
     @abstractmethod
-    def on_configuration(self, event: ConfigurationOffered) -> list[Effect]:
-        """Take what was read from the platform."""
+    def on_tick(self, event: Tick) -> list[Effect]:
+        """Run what is due."""
 
     @abstractmethod
     def after_pause(self, now: float, paused_s: float) -> list[Effect]:
--- a/src/heatheryoke/core/owner.py
+++ b/src/heatheryoke/core/owner.py
@@ -22,7 +22,7 @@
 from heatheryoke.core.node import Node
 from heatheryoke.core.ownership import OwnedFlow, OwnedFlows, Registrar
 from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.document import Service
+from heatheryoke.inventory.model import Service
 
 __all__ = ["Owner"]
 
--- a/src/heatheryoke/core/placement.py
+++ b/src/heatheryoke/core/placement.py
@@ -6,7 +6,7 @@
 
 from heatheryoke.core.messages import Visit
 from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.document import Host
+from heatheryoke.inventory.model import Host
 
 __all__ = ["MAXIMUM_VISITS", "LeastOfVisited", "Offers"]
 __all__ += ["Placement", "SeenLoads"]
--- a/src/heatheryoke/core/recovery.py
+++ b/src/heatheryoke/core/recovery.py
@@ -3,7 +3,7 @@
 from heatheryoke.core.claims import RECOVERY_DELAY_S
 from heatheryoke.core.effects import Effect, SendPeer
 from heatheryoke.core.messages import ClaimRecord, RecoveryReply, RecoveryRequest, Registration
-from heatheryoke.inventory.document import Host
+from heatheryoke.inventory.model import Host
 
 __all__ = ["FLOW_RECOVERY_S", "Recovery", "recovery_replies"]
 
--- a/src/heatheryoke/core/request_desk.py
+++ b/src/heatheryoke/core/request_desk.py
@@ -29,7 +29,7 @@
     RequestPhase,
 )
 from heatheryoke.core.write_claims import ClaimOutcomes, WriteClaims
-from heatheryoke.inventory.document import Protocol, Service
+from heatheryoke.inventory.model import Protocol, Service
 
 __all__ = ["RequestDesk", "spread"]
 
--- a/src/heatheryoke/core/request_home.py
+++ b/src/heatheryoke/core/request_home.py
@@ -33,7 +33,7 @@
 from heatheryoke.core.request_engine import RequestEngine
 from heatheryoke.core.requests import CodecFactory, RefusalReason, RequestKind
 from heatheryoke.core.ring_node import RingNode
-from heatheryoke.inventory.document import Address, Endpoint, Host, Protocol, Service
+from heatheryoke.inventory.model import Address, Endpoint, Host, Protocol, Service
 
 __all__ = ["RequestHome"]
 
@@ -112,10 +112,6 @@
         """Return a flow's homes of `within_s` ago, none if they are the present ones."""
         return self.history.former_homes(service, flow, now, within_s)
 
-    def suspected_for(self, host_name: str, now: float) -> float:
-        """Return for how many seconds a host has been suspected, 0 if it is not."""
-        return self.membership.suspected_for(host_name, now)
-
     def opens_feed(self, message: Forward, service: Service) -> bool:
         """Tell whether a new flow's packet asks for a feed."""
         request = self.engine.codec_of(service.name).read_request(message.payload)
--- a/src/heatheryoke/core/requests.py
+++ b/src/heatheryoke/core/requests.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from heatheryoke.core.flows import FlowKey
-from heatheryoke.inventory.document import Service
+from heatheryoke.inventory.model import Service
 
 __all__ = [
     "ActiveRequest",
--- a/src/heatheryoke/core/ring_node.py
+++ b/src/heatheryoke/core/ring_node.py
@@ -35,7 +35,7 @@
 )
 from heatheryoke.core.node import Node
 from heatheryoke.core.topology import Topology
-from heatheryoke.inventory.document import Address, Document, Host
+from heatheryoke.inventory.model import Address, Document, Host
 
 __all__ = ["RingNode"]
 
@@ -74,6 +74,7 @@
         self.pending_span = 0
         self.withdrawn_since: dict[str, float] = {}
         self.event_handlers |= {
+            ConfigurationOffered: self.on_configuration,
             PeerMessageArrived: self.on_peer_message,
             PlatformUnavailable: self.on_platform_unavailable,
         }
@@ -141,6 +142,10 @@
         withdrawn = self.topology.is_withdrawn(host.name)
         return not withdrawn and not self.membership.is_suspected(host.name)
 
+    def suspected_for(self, host_name: str, now: float) -> float:
+        """Return for how many seconds a host has been suspected, 0 if it is not."""
+        return self.membership.suspected_for(host_name, now)
+
     def after_pause(self, now: float, paused_s: float) -> list[Effect]:
         """Begin confirming the epoch."""
         self.confirming = True
--- a/src/heatheryoke/core/runs.py
+++ b/src/heatheryoke/core/runs.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from heatheryoke.core.messages import ResultReply, ResultRequest, ResultState
-from heatheryoke.inventory.document import Address
+from heatheryoke.inventory.model import Address
 
 __all__ = ["Run", "Runs"]
 
--- /dev/null
+++ b/src/heatheryoke/core/store_node.py
@@ -0,0 +1,158 @@
+"""A process that takes its view of the deployment straight from the platform's store."""
+
+from abc import abstractmethod
+from typing import Any
+
+from heatheryoke.core.effects import (
+    Count,
+    DiscardQueued,
+    Effect,
+    LogChange,
+    Stopped,
+)
+from heatheryoke.core.events import (
+    ForwardArrived,
+    PeerMessageArrived,
+    PlatformUnavailable,
+    StoreChanged,
+    StoreRead,
+    Tick,
+)
+from heatheryoke.core.node import Node
+from heatheryoke.core.routed_topology import RoutedTopology
+from heatheryoke.core.store_view import StoreView
+from heatheryoke.inventory.model import Host
+
+__all__ = ["StoreNode"]
+
+FORMER_S = 4.0
+
+
+class StoreNode(Node):
+    """Keeps the last view while the store is unavailable, and goes on by it."""
+
+    def __init__(self, host_name: str, incarnation: int, peer_port: int, **options: Any):
+        super().__init__(host_name, incarnation, **options)
+        self.view = StoreView(peer_port)
+        self.routed: RoutedTopology | None = None
+        self.former: RoutedTopology | None = None
+        self.changed_at = 0.0
+        self.newest_peer_epoch = 0
+        self.event_handlers |= {
+            StoreRead: self.on_store_read,
+            StoreChanged: self.on_store_changed,
+            PlatformUnavailable: self.on_platform_unavailable,
+            PeerMessageArrived: self.on_peer_message,
+        }
+
+    @property
+    def topology(self) -> RoutedTopology | None:
+        """The view in force, None before the first."""
+        return self.routed
+
+    @property
+    def epoch(self) -> int:
+        """The version of the configuration in force, 0 before the first."""
+        return self.routed.table.version if self.routed else 0
+
+    @abstractmethod
+    def on_topology(self, now: float) -> list[Effect]:
+        """Adapt to a view that has just come into force."""
+
+    @abstractmethod
+    def on_resume(self, now: float) -> list[Effect]:
+        """Adapt to having been paused."""
+
+    @abstractmethod
+    def advance(self, now: float) -> list[Effect]:
+        """Do the role's own periodic work."""
+
+    def is_muted(self) -> bool:
+        """Tell whether there is no view yet."""
+        return self.routed is None
+
+    def is_ready(self) -> bool:
+        """Tell whether callers' packets should come here."""
+        return self.routed is not None and self.stopping_since is None
+
+    def is_usable(self, host: Host) -> bool:
+        """Tell whether a host may be sent callers' packets."""
+        return host.name in self.routed.hosts
+
+    def suspected_for(self, host_name: str, now: float) -> float:
+        """Return 0: an agent that is silent still has its upstream's flows."""
+        return 0.0
+
+    def after_pause(self, now: float, paused_s: float) -> list[Effect]:
+        """Drop what has queued up."""
+        paused = LogChange(self.host_name, "paused", f"{paused_s:.1f} s")
+        return [DiscardQueued(), Count("pauses"), paused, *self.on_resume(now)]
+
+    def note_peer_epoch(self, event: ForwardArrived | PeerMessageArrived) -> list[Effect]:
+        """Note that a peer has a newer configuration; the watch of the store will bring it."""
+        if event.epoch <= max(self.epoch, self.newest_peer_epoch):
+            return []
+        self.newest_peer_epoch = event.epoch
+        return [Count("peer_has_newer_configuration")]
+
+    def on_store_read(self, event: StoreRead) -> list[Effect]:
+        """Take a whole reading of the store."""
+        effects = self.note_available(event.now)
+        changed = self.view.replace(event.items, event.now)
+        return effects + self.renew_topology(changed, event.now)
+
+    def on_store_changed(self, event: StoreChanged) -> list[Effect]:
+        """Take changes of the store."""
+        effects = self.note_available(event.now)
+        changed = self.view.apply(event.items, event.now)
+        return effects + self.renew_topology(changed, event.now)
+
+    def on_platform_unavailable(self, event: PlatformUnavailable) -> list[Effect]:
+        """Keep the view in force."""
+        news = self.view.note_unavailable(event.now)
+        log = [LogChange("store", "lost", event.reason)] if news else []
+        return [Count("platform_unavailable"), *log]
+
+    def note_available(self, now: float) -> list[Effect]:
+        """Note that the store answers."""
+        news = self.view.note_available(now)
+        return [LogChange("store", "regained", f"revision {self.view.revision}")] if news else []
+
+    def renew_topology(self, changed: bool, now: float) -> list[Effect]:
+        """Bring a changed view into force."""
+        if not changed:
+            return []
+        renewed = self.view.topology()
+        if renewed is None:
+            return []
+        self.former, self.routed = self.routed, renewed
+        self.changed_at = now
+        state = f"configuration {self.epoch}, revision {self.view.revision}"
+        summary = ",".join(f"{host.name}={host.state.value}" for host in renewed.document.hosts)
+        return [
+            Count("views_accepted"),
+            LogChange("view", state, summary),
+            *self.on_topology(now),
+        ]
+
+    def on_peer_message(self, event: PeerMessageArrived) -> list[Effect]:
+        """Handle a control message."""
+        effects = self.note_peer_epoch(event)
+        handler = self.message_handlers.get(type(event.message))
+        if handler is None or self.routed is None:
+            return [*effects, Count("unexpected_messages")]
+        return effects + handler(event)
+
+    def on_tick(self, event: Tick) -> list[Effect]:
+        """Run what is due."""
+        now = event.now
+        effects = self.renew_topology(self.view.expire_lapsed(now), now)
+        if self.routed is not None:
+            effects += self.advance(now)
+        if self.stopping_since is not None and self.is_idle(now):
+            effects.append(Stopped())
+        return effects
+
+    def former_topology(self, now: float, within_s: float) -> RoutedTopology | None:
+        """Return the view in force before the present one, if it was until lately."""
+        return self.former if now - self.changed_at < within_s else None
--- /dev/null
+++ b/src/heatheryoke/core/store_view.py
@@ -0,0 +1,218 @@
+"""What a process believes of the deployment, from the items of the platform's store.
+
+A view only grows: an item is replaced by one of a later revision alone, a configuration by one of
+a later version. An upstream whose entry is gone while the store was just unavailable is kept for
+a while, since its entry may have lapsed although it lives.
+"""
+
+from math import inf
+from typing import NamedTuple
+
+from heatheryoke.core.records import (
+    ConfigurationRecord,
+    EndpointRecord,
+    StoreItem,
+    Subject,
+)
+from heatheryoke.core.routed_topology import RoutedTopology
+from heatheryoke.core.routes import RouteTable
+from heatheryoke.inventory.model import (
+    Address,
+    Document,
+    Endpoint,
+    FailureDomain,
+    Host,
+    HostState,
+    Role,
+    Service,
+)
+
+__all__ = ["LAPSE_GRACE_S", "StoreView"]
+
+LAPSE_GRACE_S = 2.3
+DEFAULT_IDLE_S = 60.0
+DEFAULT_CONNECTIONS = 1_000
+NO_SERVICE_ADDRESS = Address("0.0.0.0", 0)
+
+
+class Lapsed(NamedTuple):
+    """An upstream whose entry is gone, kept for now."""
+
+    record: EndpointRecord
+    noticed: float
+
+
+class StoreView:
+    """Items by subject and name, and the topology that follows from them."""
+
+    def __init__(self, peer_port: int):
+        self.peer_port = peer_port
+        self.endpoints: dict[str, EndpointRecord] = {}
+        self.revisions: dict[tuple[Subject, str], int] = {}
+        self.withdrawn: set[str] = set()
+        self.returned_at: dict[str, float] = {}
+        self.cold_until: dict[str, float] = {}
+        self.lapsed: dict[str, Lapsed] = {}
+        self.configuration: ConfigurationRecord | None = None
+        self.table: RouteTable | None = None
+        self.revision = 0
+        self.unavailable_since: float | None = None
+        self.available_since = -inf
+
+    def note_available(self, now: float) -> bool:
+        """Note that the store has answered; tell whether it had been unavailable."""
+        if self.unavailable_since is None:
+            return False
+        self.unavailable_since = None
+        self.available_since = now
+        return True
+
+    def note_unavailable(self, now: float) -> bool:
+        """Note that a call has failed; tell whether that is news."""
+        if self.unavailable_since is not None:
+            return False
+        self.unavailable_since = now
+        return True
+
+    def replace(self, items: tuple[StoreItem, ...], now: float) -> bool:
+        """Take a whole reading; what it lacks is gone. Tell whether the topology changes."""
+        present = {(item.subject, item.name) for item in items}
+        held = [
+            *((Subject.ENDPOINT, name) for name in self.endpoints),
+            *((Subject.WITHDRAWAL, name) for name in self.withdrawn),
+        ]
+        gone = [
+            StoreItem(subject, name, self.revisions.get((subject, name), 0) + 1, False, None)
+            for subject, name in held
+            if (subject, name) not in present
+        ]
+        return self.apply((*gone, *items), now)
+
+    def apply(self, items: tuple[StoreItem, ...], now: float) -> bool:
+        """Take items that are newer than those held; tell whether the topology changes."""
+        changed = False
+        for item in items:
+            key = (item.subject, item.name)
+            if item.revision <= self.revisions.get(key, 0):
+                continue
+            self.revisions[key] = item.revision
+            self.revision = max(self.revision, item.revision)
+            changed |= TAKE[item.subject](self, item, now)
+        return changed
+
+    def take_endpoint(self, item: StoreItem, now: float) -> bool:
+        """Take an upstream's entry; a heartbeat alone changes nothing."""
+        record = item.record
+        held = self.endpoints.get(item.name)
+        if not isinstance(record, EndpointRecord):
+            return held is not None and self.drop_endpoint(item.name, held, now)
+        self.lapsed.pop(item.name, None)
+        self.endpoints[item.name] = record
+        if record.cold_s > 0:
+            self.cold_until[item.name] = now + record.cold_s
+        return held is None or held._replace(cold_s=0.0) != record._replace(cold_s=0.0)
+
+    def drop_endpoint(self, name: str, held: EndpointRecord, now: float) -> bool:
+        """Remove an upstream, unless its entry may have lapsed with the store."""
+        del self.endpoints[name]
+        if not held.is_draining and self.may_have_lapsed(now):
+            self.lapsed[name] = Lapsed(held, now)
+            return False
+        self.cold_until.pop(name, None)
+        return True
+
+    def may_have_lapsed(self, now: float) -> bool:
+        """Tell whether an entry may be missing only because the store was unavailable."""
+        return self.unavailable_since is not None or now - self.available_since < LAPSE_GRACE_S
+
+    def expire_lapsed(self, now: float) -> bool:
+        """Remove what is still missing after the grace; tell whether there was any."""
+        if not self.lapsed or self.may_have_lapsed(now):
+            return False
+        for name in self.lapsed:
+            self.cold_until.pop(name, None)
+        self.lapsed.clear()
+        return True
+
+    def take_configuration(self, item: StoreItem, now: float) -> bool:
+        """Take a newer configuration into force."""
+        record = item.record
+        if not isinstance(record, ConfigurationRecord):
+            return False
+        if self.configuration is not None and record.version <= self.configuration.version:
+            return False
+        self.configuration = record
+        self.table = RouteTable(record.version, record.routes)
+        return True
+
+    def take_withdrawal(self, item: StoreItem, now: float) -> bool:
+        """Take a failure domain's withdrawal or return."""
+        if item.present == (item.name in self.withdrawn):
+            return False
+        if item.present:
+            self.withdrawn.add(item.name)
+        else:
+            self.withdrawn.discard(item.name)
+            self.returned_at[item.name] = now
+        return True
+
+    def current(self) -> dict[Address, tuple[str, EndpointRecord]]:
+        """Return the newest incarnation at each address, with its id."""
+        found: dict[Address, tuple[str, EndpointRecord]] = {}
+        held = [(name, row.record) for name, row in self.lapsed.items()]
+        for name, record in (*held, *self.endpoints.items()):
+            rival = found.get(record.address)
+            if rival is None or rival[1].born_ms <= record.born_ms:
+                found[record.address] = (name, record)
+        return found
+
+    def topology(self) -> RoutedTopology | None:
+        """Return the topology of the present items, None before the first configuration."""
+        if self.configuration is None or self.table is None:
+            return None
+        limits = {row.name: row for row in self.configuration.services}
+        records = [record for _, record in self.current().values()]
+        names = limits.keys() | {record.service for record in records}
+        hosts = tuple(self.host(record) for record in records)
+        document = Document(
+            self.revision,
+            tuple(FailureDomain(name, "") for name in sorted({h.failure_domain for h in hosts})),
+            hosts,
+            tuple(
+                Service(name, NO_SERVICE_ADDRESS, name, idle_s=self.configuration.idle_s)
+                for name in sorted(names)
+            ),
+            tuple(
+                Endpoint(
+                    record.service,
+                    record.address.ip,
+                    record.address,
+                    record.slots,
+                    (
+                        limits[record.service].connections
+                        if record.service in limits
+                        else DEFAULT_CONNECTIONS
+                    ),
+                )
+                for record in records
+            ),
+        )
+        return RoutedTopology(document, self.table)
+
+    def host(self, record: EndpointRecord) -> Host:
+        """Return the host of an upstream; its agent listens at the same port everywhere."""
+        closed = record.is_draining or record.failure_domain in self.withdrawn
+        return Host(
+            record.address.ip,
+            Role.AGENT,
+            record.failure_domain,
+            Address(record.address.ip, self.peer_port),
+            HostState.DRAINING if closed else HostState.ACTIVE,
+        )
+
+
+TAKE = {
+    Subject.ENDPOINT: StoreView.take_endpoint,
+    Subject.CONFIGURATION: StoreView.take_configuration,
+    Subject.WITHDRAWAL: StoreView.take_withdrawal,
+}
--- a/src/heatheryoke/core/topology.py
+++ b/src/heatheryoke/core/topology.py
@@ -7,15 +7,9 @@
 
 from heatheryoke.core.flows import FlowKey, service_key, service_part
 from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.document import (
-    Document,
-    Endpoint,
-    Host,
-    HostState,
-    Service,
-)
+from heatheryoke.inventory.model import Document, Endpoint, Host, HostState, Service
 
-__all__ = ["HOME_COUNT", "WITNESS_COUNT", "Segment", "ServiceView", "Topology"]
+__all__ = ["HOME_COUNT", "WITNESS_COUNT", "Segment", "ServiceView", "Topology", "spread"]
 
 HOME_COUNT = 2
 WITNESS_COUNT = 3
@@ -39,23 +33,23 @@
 
     def homes(self, flow: FlowKey) -> list[Host]:
         """Return the hosts that keep the flow's directory entry."""
-        return _spread(self.ranked(flow), HOME_COUNT)
+        return spread(self.ranked(flow), HOME_COUNT)
 
     def keepers(self, flow: FlowKey, owner: str) -> list[Host]:
         """Return the hosts beside the owner that keep its registration: homes and a reserve."""
-        spread = _spread(self.ranked(flow), HOME_COUNT + 1)
-        return [host for host in spread if host.name != owner][:HOME_COUNT]
+        chosen = spread(self.ranked(flow), HOME_COUNT + 1)
+        return [host for host in chosen if host.name != owner][:HOME_COUNT]
 
     def witnesses(self, request_id: bytes) -> list[Host]:
         """Return the hosts that keep the claims of a request id."""
-        return _spread(self.ranked(b"claim:" + request_id), WITNESS_COUNT)
+        return spread(self.ranked(b"claim:" + request_id), WITNESS_COUNT)
 
     def candidates(self, flow: FlowKey) -> list[Host]:
         """Return the hosts that may own a new flow, in rendezvous order."""
         return [host for host in self.ranked(flow) if host.name in self.placeable]
 
 
-def _spread(ranked: Iterable[Host], count: int) -> list[Host]:
+def spread(ranked: Iterable[Host], count: int) -> list[Host]:
     """Take the first hosts in different failure domains; repeat domains only for want of more."""
     chosen: list[Host] = []
     rest: list[Host] = []
--- a/src/heatheryoke/core/write_claims.py
+++ b/src/heatheryoke/core/write_claims.py
@@ -19,7 +19,7 @@
 )
 from heatheryoke.core.requests import ActiveRequest, RefusalReason, RequestPhase
 from heatheryoke.core.runs import Run, Runs
-from heatheryoke.inventory.document import Address
+from heatheryoke.inventory.model import Address
 
 __all__ = ["ClaimOutcomes", "WriteClaims"]
 
--- a/src/heatheryoke/daemons/application.py
+++ b/src/heatheryoke/daemons/application.py
@@ -253,7 +253,7 @@
     def make_node(self) -> Balancer:
         """Return a balancer's reducer."""
         settings = self.settings
-        return Balancer(settings.name, self.incarnation, settings.address, settings.peers)
+        return Balancer(settings.name, self.incarnation, settings.address, seeds=settings.peers)
 
     def ports(self) -> list[DatagramPort]:
         """Return the sockets that are open."""
--- a/src/heatheryoke/daemons/datagrams.py
+++ b/src/heatheryoke/daemons/datagrams.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 
-from heatheryoke.inventory.document import Address
+from heatheryoke.inventory.model import Address
 
 __all__ = ["Datagram", "DatagramPort"]
 
--- /dev/null
+++ b/src/heatheryoke/daemons/setting_values.py
@@ -0,0 +1,58 @@
+"""Values of settings, checked as they are read. Each function raises `ValueError`."""
+
+from typing import NamedTuple
+
+from heatheryoke.inventory.model import Address
+
+__all__ = ["SettingProblem", "parse_address", "parse_name", "parse_ports", "parse_switch"]
+
+
+class SettingProblem(NamedTuple):
+    """One setting that cannot be used."""
+
+    file: str
+    section: str
+    key: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        if not self.section:
+            return f"{self.file}: {self.reason}"
+        return f"{self.file}: [{self.section}] {self.key} = {self.value!r}: {self.reason}"
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in `ip:port`."""
+    ip, separator, port = text.rpartition(":")
+    if not separator:
+        raise ValueError("must be ip:port")
+    number = int(port) if port.isdecimal() else 0
+    if not 0 < number < 65_536:
+        raise ValueError("port must be between 1 and 65535")
+    parts = ip.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() and int(part) < 256 for part in parts):
+        raise ValueError(f"{ip!r} is not an IPv4 address")
+    return Address(ip, number)
+
+
+def parse_name(text: str) -> str:
+    """Return a name of letters, digits, dots and dashes."""
+    if not text or not all(letter.isalnum() or letter in ".-_" for letter in text):
+        raise ValueError("must be letters, digits, '.', '-' or '_'")
+    return text
+
+
+def parse_ports(text: str) -> tuple[int, int]:
+    """Return the first and last port in `first,last`."""
+    first, _, last = text.partition(",")
+    if not (first.isdecimal() and last.isdecimal() and 0 < int(first) <= int(last) < 65_536):
+        raise ValueError("must be first,last")
+    return int(first), int(last)
+
+
+def parse_switch(text: str) -> bool:
+    """Return whether the text is `true`; only `false` is the other."""
+    if text not in ("true", "false"):
+        raise ValueError("must be true or false")
+    return text == "true"
--- a/src/heatheryoke/daemons/settings.py
+++ b/src/heatheryoke/daemons/settings.py
@@ -10,6 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
+from heatheryoke.daemons.setting_values import SettingProblem, parse_address, parse_name
 from heatheryoke.inventory.document import Address, Role
 
 __all__ = ["SETTINGS", "LogFormat", "Setting", "SettingProblem", "Settings", "read_settings"]
@@ -24,21 +25,6 @@
     JSON = "json"
 
 
-class SettingProblem(NamedTuple):
-    """One setting that cannot be used."""
-
-    file: str
-    section: str
-    key: str
-    value: str
-    reason: str
-
-    def __str__(self) -> str:
-        if not self.section:
-            return f"{self.file}: {self.reason}"
-        return f"{self.file}: [{self.section}] {self.key} = {self.value!r}: {self.reason}"
-
-
 class Settings(NamedTuple):
     """The checked settings of one daemon. An absent address is None."""
 
@@ -69,29 +55,11 @@
     help: str
 
 
-def parse_address(text: str) -> Address:
-    """Return the address in `ip:port`."""
-    ip, separator, port = text.rpartition(":")
-    if not separator:
-        raise ValueError("must be ip:port")
-    number = int(port) if port.isdecimal() else 0
-    if not 0 < number < 65_536:
-        raise ValueError("port must be between 1 and 65535")
-    return Address(str(IPv4Address(ip)), number)
-
-
 def parse_addresses(text: str) -> tuple[Address, ...]:
     """Return the addresses in a list separated by commas."""
     return tuple(parse_address(part.strip()) for part in text.split(",") if part.strip())
 
 
-def parse_name(text: str) -> str:
-    """Return a name of letters, digits, dots and dashes."""
-    if not text or not all(letter.isalnum() or letter in ".-_" for letter in text):
-        raise ValueError("must be letters, digits, '.', '-' or '_'")
-    return text
-
-
 def parse_key(text: str) -> bytes:
     """Return the key in hexadecimal."""
     try:
--- a/src/heatheryoke/inventory/checks.py
+++ b/src/heatheryoke/inventory/checks.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from heatheryoke.inventory.document import Address, Document, Role
+from heatheryoke.inventory.model import Address, Document, Role
 
 __all__ = ["Problem", "check_document", "short_id"]
 
--- a/src/heatheryoke/measure/world.py
+++ b/src/heatheryoke/measure/world.py
@@ -169,7 +169,7 @@
         incarnation = next(self.incarnations)
         peers = tuple(row.address for row in self.document.hosts if row.name != host.name)[:3]
         if host.role is Role.BALANCER:
-            return self.policy.balancer(host.name, incarnation, host.address, peers)
+            return self.policy.balancer(host.name, incarnation, host.address, seeds=peers)
         return self.policy.agent(
             host.name,
             incarnation,
--- /dev/null
+++ b/src/heatheryoke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's names, formats and calls; nothing here decides anything."""
--- /dev/null
+++ b/src/heatheryoke/platform/items.py
@@ -0,0 +1,135 @@
+"""The items of the platform's store, decoded into typed records."""
+
+import base64
+import binascii
+import json
+from typing import Any
+
+from heatheryoke.core.records import (
+    ConfigurationRecord,
+    EndpointRecord,
+    ServiceRecord,
+    StoreItem,
+    Subject,
+)
+from heatheryoke.core.routes import Route, Share
+from heatheryoke.inventory.model import Address
+
+__all__ = ["UnreadableItemError", "read_item"]
+
+ENDPOINT_PREFIX = "servers/"
+CONFIGURATION_KEY = "op/config"
+WITHDRAWAL_PREFIX = "op/evacuate/"
+STATES = {"ready": False, "draining": True}
+IDEMPOTENT_KINDS = {"idempotent", "download"}
+LONGEST_REASON = 200
+KINDS = IDEMPOTENT_KINDS | {"non_idempotent"}
+
+
+class UnreadableItemError(ValueError):
+    """An item's value is not what its key calls for."""
+
+
+def read_item(raw: Any) -> tuple[StoreItem | None, UnreadableItemError | None]:
+    """Return the record of an item or event, None for a key of no interest, and what was wrong.
+
+    An unreadable upstream names none to use; an unreadable configuration is left out.
+    """
+    key, revision = raw.get("key"), raw.get("revision")
+    if not isinstance(key, str) or type(revision) is not int:
+        return None, UnreadableItemError(f"item without key or revision: {str(raw)[:80]}")
+    gone = bool(raw.get("tombstone"))
+    if key.startswith(ENDPOINT_PREFIX):
+        name = key.removeprefix(ENDPOINT_PREFIX)
+        record, problem = (None, None) if gone else _attempt(_endpoint, raw)
+        return StoreItem(Subject.ENDPOINT, name, revision, record is not None, record), problem
+    if key.startswith(WITHDRAWAL_PREFIX):
+        name = key.removeprefix(WITHDRAWAL_PREFIX)
+        return StoreItem(Subject.WITHDRAWAL, name, revision, not gone, None), None
+    if key != CONFIGURATION_KEY or gone:
+        return None, None
+    record, problem = _attempt(_configuration, raw)
+    if record is None:
+        return None, problem
+    return StoreItem(Subject.CONFIGURATION, "", revision, True, record), None
+
+
+def _attempt(read: Any, raw: dict[str, Any]) -> tuple[Any, UnreadableItemError | None]:
+    try:
+        value = json.loads(base64.b64decode(raw["value"], validate=True))
+        return read(value), None
+    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
+        return None, UnreadableItemError(
+            f"{raw['key']!r} revision {raw['revision']}: {error!r}"[:200]
+        )
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise UnreadableItemError(f"{value!r} is not a number")
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise UnreadableItemError(f"{value!r} is not a text")
+    return value
+
+
+def _address(text: Any) -> Address:
+    ip, _, port = _text(text).rpartition(":")
+    parts = ip.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() and int(part) < 256 for part in parts):
+        raise UnreadableItemError(f"{text!r} is not an address")
+    return Address(ip, int(port))
+
+
+def _endpoint(value: dict[str, Any]) -> EndpointRecord:
+    born = value.get("born", 0)  # the start of this incarnation, under an id that may be reused
+    return EndpointRecord(
+        _text(value["service"]),
+        _address(value["address"]),
+        _text(value["zone"]),
+        max(1, int(_number(value["concurrency"]))),  # slots: requests worked on at once
+        STATES[value["state"]],
+        _number(value.get("warmupLeftMs", 0)) / 1000,
+        int(_number(born)),
+    )
+
+
+def _configuration(value: dict[str, Any]) -> ConfigurationRecord:
+    return ConfigurationRecord(
+        int(_number(value["version"])),
+        tuple(_route(row) for row in value["routes"]),
+        tuple(_service(row) for row in value["services"]),
+        _number(value["limits"]["idleTimeoutMs"]) / 1000,  # silence after which a flow may go
+    )
+
+
+def _route(row: dict[str, Any]) -> Route:
+    split = row.get("backends")  # services with weights, not single upstreams
+    if split:
+        shares = tuple(Share(_text(part["service"]), _number(part["weight"])) for part in split)
+    else:
+        shares = (Share(_text(row["service"]), 1.0),)
+    if row["kind"] not in KINDS:
+        raise UnreadableItemError(f"kind {row['kind']!r}")
+    return Route(
+        _text(row["name"]),
+        # `host` is an IP address and `prefix` a port between slashes
+        Address(_text(row["host"]), int(_text(row["prefix"]).strip("/"))),
+        shares,
+        row["kind"] in IDEMPOTENT_KINDS,
+        _number(row["targetLatencyMs"]) / 1000,
+        _number(row["timeoutMs"]) / 1000,
+        int(_number(row["priority"])),  # 0 is the highest
+    )
+
+
+def _service(row: dict[str, Any]) -> ServiceRecord:
+    return ServiceRecord(
+        _text(row["name"]),
+        int(_number(row.get("maxConns", 1_000))),  # flows that one upstream holds
+        _number(row.get("warmupS", 0)),
+        _number(row.get("warmupPerS", 0)),
+    )
--- /dev/null
+++ b/src/heatheryoke/platform/store.py
@@ -0,0 +1,127 @@
+"""The platform's store: the two calls that read it, over one connection that is kept."""
+
+import asyncio
+import json
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
+
+import httptools
+
+from heatheryoke.core.records import StoreItem
+from heatheryoke.inventory.model import Address
+from heatheryoke.platform.items import UnreadableItemError, read_item
+
+__all__ = ["HistoryGoneError", "Reading", "StoreClient", "StoreUnavailableError"]
+
+RANGE_PATH = "/v1/kv-range"
+WATCH_PATH = "/v1/kv-watch"
+READ_BYTES = 65_536
+STATUS_OK, STATUS_GONE = 200, 410
+
+
+class StoreUnavailableError(Exception):
+    """The store did not answer a call, or refused it."""
+
+
+class HistoryGoneError(Exception):
+    """The store no longer has the changes since a revision; its items must be read again."""
+
+
+class Reading(NamedTuple):
+    """What one call returned; `revision` is the store's when it answered."""
+
+    items: tuple[StoreItem, ...]
+    problems: tuple[UnreadableItemError, ...]
+    revision: int
+    last_key: str
+    has_more: bool
+
+
+class Response:
+    """Collects one response from the parser's callbacks."""
+
+    def __init__(self):
+        self.body = bytearray()
+        self.is_complete = False
+
+    def on_body(self, data: bytes) -> None:
+        """Add a part of the body."""
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        """Note the end."""
+        self.is_complete = True
+
+
+class StoreClient:
+    """Makes one call at a time; a call that fails closes the connection."""
+
+    def __init__(self, address: Address):
+        self.address = address
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+        self.calls = 0
+
+    async def read_range(self, prefix: str, after: str, timeout_s: float) -> Reading:
+        """Return the items under a prefix after a key, one page."""
+        query = {"prefix": prefix} | ({"after": after} if after else {})
+        return _reading(await self.call(RANGE_PATH, query, timeout_s), "items")
+
+    async def watch(self, prefix: str, after: int, wait_s: float, timeout_s: float) -> Reading:
+        """Return the changes under a prefix after a revision, as soon as there are any."""
+        query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
+        return _reading(await self.call(WATCH_PATH, query, wait_s + timeout_s), "events")
+
+    async def call(self, path: str, query: dict[str, Any], timeout_s: float) -> dict[str, Any]:
+        """Make a GET call; raise `StoreUnavailableError` or `HistoryGoneError`."""
+        self.calls += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.exchange(f"{path}?{urlencode(query)}")
+        except TimeoutError:
+            self.close()
+            raise StoreUnavailableError("timeout") from None
+        except (OSError, ValueError, httptools.HttpParserError) as error:
+            self.close()
+            raise StoreUnavailableError(repr(error)) from error
+
+    async def exchange(self, target: str) -> dict[str, Any]:
+        """Send one request and return the body of its response."""
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(*self.address)
+        head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
+        self.writer.write(head.encode())
+        response = Response()
+        parser = httptools.HttpResponseParser(response)
+        while not response.is_complete:
+            data = await self.reader.read(READ_BYTES)
+            if not data:
+                raise OSError("connection closed")
+            parser.feed_data(data)
+        if not parser.should_keep_alive():
+            self.close()
+        status = parser.get_status_code()
+        if status == STATUS_GONE:
+            raise HistoryGoneError
+        if status != STATUS_OK:
+            raise StoreUnavailableError(f"status {status}")
+        return json.loads(bytes(response.body))
+
+    def close(self) -> None:
+        """Drop the connection; the next call opens another."""
+        if self.writer is not None:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
+
+
+def _reading(body: dict[str, Any], rows_field: str) -> Reading:
+    items, problems, last_key = [], [], ""
+    for raw in body[rows_field]:
+        item, problem = read_item(raw)
+        if item is not None:
+            items.append(item)
+        if problem is not None:
+            problems.append(problem)
+        last_key = str(raw.get("key", ""))
+    more = bool(body.get("hasMore"))
+    return Reading(tuple(items), tuple(problems), int(body["currentRev"]), last_key, more)
--- a/src/heatheryoke/wire/forward.py
+++ b/src/heatheryoke/wire/forward.py
@@ -8,7 +8,7 @@
 
 from heatheryoke.core.flows import PacketKind
 from heatheryoke.core.messages import Forward, Visit
-from heatheryoke.inventory.document import Address
+from heatheryoke.inventory.model import Address
 
 __all__ = ["decode_forward", "encode_forward"]
 
--- /dev/null
+++ b/src/heatheryoke/wire/peers.py
@@ -0,0 +1,139 @@
+"""Datagrams between processes that have no shared key: a short head and a packed body.
+
+offset  bytes  field
+0       2      magic
+2       1      version
+3       1      kind
+4       8      epoch of the sender
+12             body
+
+Such datagrams come to a port of their own, which callers cannot reach.
+"""
+
+import struct
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.messages import (
+    Forward,
+    Hint,
+    PeerMessage,
+    RecoveryRequest,
+    Registration,
+    Registrations,
+    RegistrationsAck,
+    Yield,
+)
+from heatheryoke.wire.forward import decode_forward, encode_forward
+
+__all__ = ["PeerDatagram", "open_datagram", "seal_datagram"]
+
+MAGIC = b"hy"
+VERSION = 1
+HEAD = struct.Struct("!2sBBQ")
+FLOW_ID = struct.Struct("!13sQ")
+NUMBER = struct.Struct("!I")
+NAME_LENGTH = struct.Struct("!B")
+RECOVERY = struct.Struct("!QI")
+ROW = struct.Struct("!13sIB")
+ANSWERED, CLOSED = 1, 2
+
+
+class PeerDatagram(NamedTuple):
+    """What a datagram carries, and the epoch of its sender."""
+
+    epoch: int
+    message: Forward | PeerMessage
+
+
+def _name(name: str) -> bytes:
+    data = name.encode()
+    return NAME_LENGTH.pack(len(data)) + data
+
+
+def _read_name(body: bytes, at: int) -> tuple[str, int]:
+    (length,) = NAME_LENGTH.unpack_from(body, at)
+    end = at + 1 + length
+    if end > len(body):
+        raise ValueError("name is cut off")
+    return body[at + 1 : end].decode(), end
+
+
+def _encode_registrations(message: Registrations) -> bytes:
+    parts = [NUMBER.pack(message.batch)]
+    for row in message.entries:
+        flags = (ANSWERED if row.answered else 0) | (CLOSED if row.closed else 0)
+        parts += [ROW.pack(row.flow, row.generation, flags), _name(row.owner)]
+    return b"".join(parts)
+
+
+def _decode_registrations(body: bytes) -> Registrations:
+    (batch,) = NUMBER.unpack_from(body)
+    at, rows = NUMBER.size, []
+    while at < len(body):
+        flow, generation, flags = ROW.unpack_from(body, at)
+        owner, at = _read_name(body, at + ROW.size)
+        answered, closed = bool(flags & ANSWERED), bool(flags & CLOSED)
+        rows.append(Registration(flow, owner, generation, 0, answered, closed, ()))
+    return Registrations(batch, tuple(rows))
+
+
+def _decode_yield(body: bytes) -> Yield:
+    flow: FlowKey = body[:13]
+    return Yield(flow, _read_name(body, 13)[0])
+
+
+def _decode_recovery(body: bytes) -> RecoveryRequest:
+    incarnation, question = RECOVERY.unpack_from(body)
+    return RecoveryRequest(_read_name(body, RECOVERY.size)[0], incarnation, question)
+
+
+def _decode_forward(body: bytes) -> Forward:
+    message = decode_forward(body)
+    if message is None:
+        raise ValueError("malformed")
+    return message
+
+
+class Format(NamedTuple):
+    """How one kind of message is written and read."""
+
+    kind: int
+    encode: Callable[[Any], bytes]
+    decode: Callable[[bytes], Any]
+
+
+FORMATS: dict[type, Format] = {
+    Forward: Format(1, encode_forward, _decode_forward),
+    Hint: Format(2, lambda m: FLOW_ID.pack(*m), lambda b: Hint(*FLOW_ID.unpack(b))),
+    Registrations: Format(3, _encode_registrations, _decode_registrations),
+    RegistrationsAck: Format(
+        4, lambda m: NUMBER.pack(*m), lambda b: RegistrationsAck(*NUMBER.unpack(b))
+    ),
+    Yield: Format(5, lambda m: m.flow + _name(m.owner), _decode_yield),
+    RecoveryRequest: Format(
+        6, lambda m: RECOVERY.pack(m.incarnation, m.question) + _name(m.host), _decode_recovery
+    ),
+}
+DECODERS = {row.kind: row.decode for row in FORMATS.values()}
+
+
+def seal_datagram(epoch: int, message: Forward | PeerMessage) -> bytes:
+    """Return the datagram of a message."""
+    found = FORMATS[type(message)]
+    return HEAD.pack(MAGIC, VERSION, found.kind, epoch) + found.encode(message)
+
+
+def open_datagram(data: bytes) -> PeerDatagram | None:
+    """Read a datagram; None if it is malformed."""
+    if len(data) < HEAD.size:
+        return None
+    magic, version, kind, epoch = HEAD.unpack_from(data)
+    decode = DECODERS.get(kind)
+    if magic != MAGIC or version != VERSION or decode is None:
+        return None
+    try:
+        return PeerDatagram(epoch, decode(data[HEAD.size :]))
+    except (struct.error, ValueError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,375 @@
+"""Byte streams: heads, homes, placement, and the upstream as the truth about a flow."""
+
+from math import inf
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heatheryoke.core.effects import AnswerCaller, Deliver, SendForward, SendPeer
+from heatheryoke.core.events import (
+    CallerPacket,
+    ForwardArrived,
+    PeerMessageArrived,
+    StopRequested,
+    StoreChanged,
+    StoreRead,
+    UpstreamPacket,
+)
+from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key
+from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Visit
+from heatheryoke.core.records import (
+    ConfigurationRecord,
+    EndpointRecord,
+    ServiceRecord,
+    StoreItem,
+    Subject,
+)
+from heatheryoke.core.routes import Route, RouteTable, Share
+from heatheryoke.core.stream_agent import StreamAgent
+from heatheryoke.core.stream_balancer import StreamBalancer
+from heatheryoke.inventory.checks import short_id
+from heatheryoke.inventory.model import Address
+from heatheryoke.platform.packets import (
+    ACK,
+    BOUNCED,
+    FIN,
+    HEAD,
+    RST,
+    SYN,
+    PacketCodec,
+    Side,
+    check_packet,
+    packet_flow,
+)
+from heatheryoke.wire.peers import open_datagram, seal_datagram
+
+NOW = 100.0
+PORT = 7_000
+CODEC = PacketCodec()
+FEED = Address("198.18.0.1", 443)
+HOLD = Address("198.18.0.2", 443)
+BALANCER = Address("10.9.0.1", PORT)
+DOMAINS = ("north", "south", "west")
+
+
+def flow_of(port, service=FEED):
+    return flow_key(FlowTuple(UDP, Address("100.64.0.7", port), service))
+
+
+def packet(flow, flags, sequence=1, acknowledged=0, data=b"", from_upstream=False):
+    source, target = flow[1:7], flow[7:13]
+    if from_upstream:
+        source, target = target, source
+    return (
+        HEAD.pack(
+            9,
+            int.from_bytes(source[4:], "big"),
+            source[3::-1],
+            int.from_bytes(target[4:], "big"),
+            target[3::-1],
+            0,
+            flags,
+            0,
+            sequence,
+            acknowledged,
+            len(data),
+        )
+        + data
+    )
+
+
+def endpoint(number, service="live", **changes):
+    record = EndpointRecord(
+        service,
+        Address(f"10.1.0.{number}", 8_000),
+        DOMAINS[number % 3],
+        2,
+        False,
+        0.0,
+        1_000 + number,
+    )
+    return StoreItem(Subject.ENDPOINT, f"i-{number}", number, True, record._replace(**changes))
+
+
+def configuration(version=3, revision=90, routes=None):
+    found = routes or (
+        Route("feed", FEED, (Share("live", 1.0),), True, 0.1, 1.5, 2),
+        Route("hold", HOLD, (Share("live", 1.0),), False, 0.1, 1.5, 1),
+    )
+    services = (ServiceRecord("live", 2_000, 2.0, 0.0), ServiceRecord("print", 2_000, 2.0, 0.0))
+    record = ConfigurationRecord(version, found, services, 15.0)
+    return StoreItem(Subject.CONFIGURATION, "", revision, True, record)
+
+
+def withdrawal(domain, revision, present=True):
+    return StoreItem(Subject.WITHDRAWAL, domain, revision, present, None)
+
+
+ITEMS = (configuration(), *(endpoint(number) for number in range(1, 6)))
+
+
+def make_agent(number=1, items=ITEMS, first_start=True, service="live", started=NOW):
+    node = StreamAgent(
+        f"10.1.0.{number}",
+        1,
+        started,
+        CODEC,
+        service,
+        Address(f"10.1.0.{number}", 8_000),
+        first_start=first_start,
+        peer_port=PORT,
+    )
+    node.reduce(StoreRead(started, items))
+    return node
+
+
+def make_balancer(items=ITEMS):
+    node = StreamBalancer("edge", 1, CODEC, address=BALANCER, peer_port=PORT)
+    node.reduce(StoreRead(NOW, items))
+    return node
+
+
+def forward(flow, payload, epoch=3, now=NOW, **changes):
+    kind = CODEC.read_head(payload).kind
+    message = Forward(flow, short_id("live"), kind, HOP_LIMIT, BALANCER, payload)
+    return ForwardArrived(now, BALANCER, epoch, message._replace(**changes))
+
+
+def of_kind(effects, kind):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def opened(agent, flow, now=NOW):
+    """Let an agent's upstream accept a flow."""
+    agent.reduce(forward(flow, packet(flow, SYN), assigned=True, now=now))
+    return agent.reduce(
+        UpstreamPacket(now, flow, packet(flow, SYN | ACK, 500, 2, from_upstream=True))
+    )
+
+
+class TestHeads:
+    def test_reads_the_published_example(self):
+        data = bytes.fromhex(
+            "d5c3b2a1419c07004064bb01010012c600000000800044332211000000000000".ljust(64, "0")
+        )
+        assert check_packet(data, Side.CALLER) is None
+        assert packet_flow(data, Side.CALLER) == flow_of(40_001)
+        head = CODEC.read_head(data)
+        assert head.opens and head.sequence == 0x11223344
+
+    def test_writes_the_published_reset(self):
+        expected = "00000000bb01010012c6419c07004064000000004000" + "00" * 10
+        assert CODEC.reset(flow_of(40_001), 0).hex() == expected
+
+    def test_clears_only_the_marks_of_the_way(self):
+        flow = flow_of(1)
+        sent = packet(flow, ACK, 5, 6, b"data")
+        marked = bytearray(sent)
+        marked[16:20], marked[20], marked[21] = b"mark", ACK | BOUNCED, 7
+        assert CODEC.cleared(bytes(marked)) == sent
+
+    @pytest.mark.parametrize("flags", [SYN | ACK, BOUNCED, BOUNCED | SYN, 4, 8, 16])
+    def test_a_caller_cannot_send_what_only_others_send(self, flags):
+        assert check_packet(packet(flow_of(1), flags), Side.CALLER) is not None
+
+    @given(st.binary(max_size=1_400))
+    def test_any_bytes_are_checked_before_they_are_read(self, data):
+        for side in Side:
+            if check_packet(data, side) is None:
+                assert len(packet_flow(data, side)) == 13
+                CODEC.read_head(data)
+
+    @given(st.binary(max_size=200))
+    def test_any_peer_datagram_is_read_or_refused(self, data):
+        for kind in range(8):
+            open_datagram(b"hy\x01" + bytes([kind]) + data)
+
+    def test_peer_datagrams_come_back_whole(self):
+        flow = flow_of(1)
+        message = Forward(
+            flow, 5, PacketKind.OPENS, 3, BALANCER, b"x", (Visit(1, 2.0), Visit(2, inf))
+        )
+        assert open_datagram(seal_datagram(7, message)) == (7, message)
+
+
+class TestRoutes:
+    def test_copies_of_a_flow_get_the_same_share(self):
+        shares = (Share("live", 90), Share("print", 10))
+        table = RouteTable(1, (Route("r", FEED, shares, True, 1, 1, 1),))
+        names = [table.service_name(flow_of(port)) for port in range(2_000)]
+        assert names == [table.service_name(flow_of(port)) for port in range(2_000)]
+        assert 0.05 < names.count("print") / len(names) < 0.15
+
+    def test_a_share_of_weight_zero_gets_nothing(self):
+        shares = (Share("live", 0), Share("print", 5))
+        table = RouteTable(1, (Route("r", FEED, shares, True, 1, 1, 1),))
+        assert {table.service_name(flow_of(port)) for port in range(200)} == {"print"}
+
+
+class TestBalancer:
+    def test_a_flow_without_a_route_is_reset_at_once(self):
+        flow = flow_of(1, Address("198.18.9.9", 1))
+        effects = make_balancer().reduce(CallerPacket(NOW, flow, 0, packet(flow, SYN)))
+        (answer,) = of_kind(effects, AnswerCaller)
+        assert CODEC.read_head(answer.payload).resets
+
+    def test_an_open_flow_without_a_route_is_dropped_silently(self):
+        flow = flow_of(1, Address("198.18.9.9", 1))
+        effects = make_balancer().reduce(CallerPacket(NOW, flow, 0, packet(flow, ACK)))
+        assert not of_kind(effects, AnswerCaller) and not of_kind(effects, SendForward)
+
+    def test_copies_of_a_first_packet_try_both_homes(self):
+        node, flow = make_balancer(), flow_of(1)
+        targets = [
+            of_kind(
+                node.reduce(CallerPacket(NOW, flow, 0, packet(flow, SYN, acknowledged=copy))),
+                SendForward,
+            )[0].to
+            for copy in range(3)
+        ]
+        assert targets[0] == targets[2] != targets[1]
+
+    def test_a_hint_leads_to_the_owner(self):
+        node, flow = make_balancer(), flow_of(1)
+        node.reduce(PeerMessageArrived(NOW, BALANCER, 3, Hint(flow, short_id("10.1.0.4"))))
+        (sent,) = of_kind(node.reduce(CallerPacket(NOW, flow, 0, packet(flow, ACK))), SendForward)
+        assert sent.to.ip == "10.1.0.4"
+
+    def test_a_changed_route_moves_no_home(self):
+        other = (Route("feed", FEED, (Share("print", 1.0),), True, 0.1, 1.5, 2),)
+        before = make_balancer().topology.homes(flow_of(1))
+        after = make_balancer((*ITEMS, configuration(4, 99, other))).topology.homes(flow_of(1))
+        assert before == after
+
+    def test_it_goes_on_serving_while_it_stops(self):
+        node, flow = make_balancer(), flow_of(1)
+        node.reduce(StopRequested(NOW))
+        assert not node.is_ready()
+        assert of_kind(node.reduce(CallerPacket(NOW, flow, 0, packet(flow, ACK))), SendForward)
+
+
+class TestOwner:
+    def test_an_acceptance_is_registered_at_both_homes_and_hinted(self):
+        agent, flow = make_agent(), flow_of(1)
+        sent = of_kind(opened(agent, flow), SendPeer)
+        homes = {host.address for host in agent.topology.homes(flow)} - {Address("10.1.0.1", PORT)}
+        assert {effect.to for effect in sent} == homes | {BALANCER}
+
+    def test_a_packet_for_another_upstreams_acceptance_is_passed_on(self):
+        agent, flow = make_agent(), flow_of(1)
+        opened(agent, flow)
+        stray = packet(flow, ACK, 2, 0x7000_0000, b"GET")
+        effects = agent.reduce(forward(flow, stray))
+        assert not of_kind(effects, Deliver)
+
+    def test_a_flow_that_its_upstream_has_lost_is_reset(self):
+        agent, flow = make_agent(), flow_of(1)
+        opened(agent, flow)
+        data = packet(flow, ACK, 2, 501, b"GET")
+        agent.reduce(forward(flow, data))
+        returned = packet(flow, ACK | BOUNCED, 2, 501, b"GET")
+        (answer,) = of_kind(agent.reduce(UpstreamPacket(NOW, flow, returned)), AnswerCaller)
+        head = CODEC.read_head(answer.payload)
+        assert head.resets and head.sequence == 501
+
+    def test_a_first_packet_that_is_returned_goes_to_another_upstream(self):
+        agent, flow = make_agent(), flow_of(1)
+        agent.reduce(forward(flow, packet(flow, SYN), assigned=True))
+        effects = agent.reduce(UpstreamPacket(NOW, flow, packet(flow, SYN | BOUNCED)))
+        (sent,) = of_kind(effects, SendForward)
+        assert sent.message.payload == packet(flow, SYN)
+        assert sent.to.ip != "10.1.0.1"
+
+    def test_an_agent_that_restarted_asks_its_upstream(self):
+        agent, flow = make_agent(first_start=False), flow_of(1)
+        data = packet(flow, ACK, 2, 501, b"GET")
+        assert of_kind(agent.reduce(forward(flow, data)), Deliver)
+        effects = agent.reduce(
+            UpstreamPacket(NOW, flow, packet(flow, ACK | BOUNCED, 2, 501, b"GET"))
+        )
+        (sent,) = of_kind(effects, SendForward)
+        assert sent.message.payload == data
+        assert short_id("10.1.0.1") in {visit.host_id for visit in sent.message.visited}
+
+    def test_an_agent_that_never_restarted_offers_nothing(self):
+        flow = flow_of(1)
+        assert not of_kind(make_agent().reduce(forward(flow, packet(flow, ACK))), Deliver)
+
+    def test_a_search_ends_without_a_reset(self):
+        agent, flow = make_agent(), flow_of(1)
+        visits = tuple(Visit(short_id(f"10.1.0.{n}"), inf) for n in range(2, 6))
+        effects = agent.reduce(forward(flow, packet(flow, ACK), visited=visits))
+        assert not of_kind(effects, AnswerCaller | SendForward | Deliver)
+
+    def test_both_ends_closed_end_a_flow_after_a_while(self):
+        agent, flow = make_agent(), flow_of(1)
+        opened(agent, flow)
+        agent.reduce(forward(flow, packet(flow, ACK | FIN, 2, 501)))
+        agent.reduce(UpstreamPacket(NOW, flow, packet(flow, ACK | FIN, from_upstream=True)))
+        agent.advance(NOW + 1.0)
+        assert len(agent.flows) == 1
+        agent.advance(NOW + 10.0)
+        assert len(agent.flows) == 0
+
+    def test_a_callers_reset_reaches_the_upstream(self):
+        agent, flow = make_agent(), flow_of(1)
+        opened(agent, flow)
+        assert of_kind(agent.reduce(forward(flow, packet(flow, RST, 2, 501))), Deliver)
+
+
+class TestNoNewFlows:
+    """An upstream that may not take a flow is given none, by whatever way the flow comes."""
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            endpoint(1, is_draining=True)._replace(revision=95),
+            withdrawal("south", 95),
+            endpoint(1, service="print")._replace(revision=95),
+            StoreItem(Subject.ENDPOINT, "i-1", 95, False, None),
+        ],
+        ids=["draining", "withdrawn", "another service", "gone"],
+    )
+    def test_after_a_change(self, change):
+        agent, flow = make_agent(), flow_of(1)
+        agent.reduce(StoreChanged(NOW, (change,)))
+        effects = agent.reduce(forward(flow, packet(flow, SYN), assigned=True))
+        assert not of_kind(effects, Deliver)
+        assert of_kind(effects, SendForward)
+
+    def test_when_settings_name_another_service_than_the_store(self):
+        agent, flow = make_agent(service="print"), flow_of(1)
+        effects = agent.reduce(forward(flow, packet(flow, SYN), assigned=True))
+        assert not of_kind(effects, Deliver)
+
+    def test_when_the_newer_configuration_of_the_sender_says_another_service(self):
+        agent, flow = make_agent(), flow_of(1)
+        event = forward(flow, packet(flow, SYN), epoch=9, service_id=short_id("print"))
+        assert not of_kind(agent.reduce(event), Deliver)
+
+    def test_but_its_established_flows_go_on(self):
+        agent, flow = make_agent(), flow_of(1)
+        opened(agent, flow)
+        agent.reduce(StoreChanged(NOW, (withdrawal("south", 95),)))
+        assert of_kind(agent.reduce(forward(flow, packet(flow, ACK, 2, 501))), Deliver)
+
+
+class TestView:
+    def test_a_heartbeat_changes_no_topology(self):
+        agent = make_agent()
+        before = agent.topology
+        beat = endpoint(2, cold_s=1.0)._replace(revision=95)
+        agent.reduce(StoreChanged(NOW, (beat,)))
+        assert agent.topology is before
+
+    def test_an_older_configuration_changes_nothing(self):
+        agent = make_agent()
+        agent.reduce(StoreChanged(NOW, (configuration(2, 96, ()),)))
+        assert agent.epoch == 3
+
+    def test_the_newest_incarnation_holds_an_address(self):
+        younger = endpoint(7, "print", address=Address("10.1.0.1", 8_000), born_ms=9_000)
+        agent = make_agent(items=(*ITEMS, younger))
+        assert agent.endpoint_of("live") is None
+        assert ("print", "10.1.0.1") in agent.topology.endpoints
