Reset a flow that no upstream holds once all were asked; carry out every effect

Ruled out: trusting the starts that the store tells; old entries stand there for 3 s after the loss. Change: a search that has asked every host ends with a reset if the view is settled, or if all hosts have started together and none was heard of that the view lacks; else silently. A test holds effects to handlers.

--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -30,6 +30,7 @@
 __all__ = ["LAPSE_GRACE_S", "StoreView"]
 
 LAPSE_GRACE_S = 2.3
+SETTLED_S = 6.0
 DEFAULT_IDLE_S = 60.0
 DEFAULT_CONNECTIONS = 1_000
 NO_SERVICE_ADDRESS = Address("0.0.0.0", 0)
@@ -58,6 +59,8 @@
         self.revision = 0
         self.unavailable_since: float | None = None
         self.available_since = -inf
+        self.first_read_at = inf
+        self.vanished_at = -inf
 
     def note_available(self, now: float) -> bool:
         """Note that the store has answered; tell whether it had been unavailable."""
@@ -74,8 +77,14 @@
         self.unavailable_since = now
         return True
 
+    def is_settled(self, now: float) -> bool:
+        """Tell whether no upstream can be alive that is missing here: the store has been calm."""
+        calm_since = max(self.first_read_at, self.available_since, self.vanished_at)
+        return self.unavailable_since is None and now - calm_since > SETTLED_S
+
     def replace(self, items: tuple[StoreItem, ...], now: float) -> bool:
         """Take a whole reading; what it lacks is gone. Tell whether the topology changes."""
+        self.first_read_at = min(self.first_read_at, now)
         present = {(item.subject, item.name) for item in items}
         held = [
             *((Subject.ENDPOINT, name) for name in self.endpoints),
@@ -115,6 +124,8 @@
     def drop_endpoint(self, name: str, held: EndpointRecord, now: float) -> bool:
         """Remove an upstream, unless its entry may have lapsed with the store."""
         del self.endpoints[name]
+        if not held.is_draining:
+            self.vanished_at = now
         if not held.is_draining and self.may_have_lapsed(now):
             self.lapsed[name] = Lapsed(held, now)
             return False
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -16,6 +16,7 @@
     Deliver,
     Effect,
     LogFlow,
+    SendForward,
     SendPeer,
 )
 from heatheryoke.core.events import ForwardArrived, PeerMessageArrived, UpstreamPacket
@@ -33,6 +34,9 @@
 
 MAXIMUM_ENTRIES = 50_000
 MAXIMUM_OFFERED = 2_000
+MAXIMUM_ASKED = 30
+MAXIMUM_HEARD_OF = 10_000
+TOGETHER_S = 8.0
 ENTRY_S = 75.0
 EXPIRY_BATCH = 200
 CLOSING_S = 4.0
@@ -65,6 +69,8 @@
         self.upstream = upstream
         self.directory = Directory(MAXIMUM_ENTRIES, ENTRY_S)
         self.own_id = short_id(host_name)
+        self.started = started
+        self.heard_of: set[str] = set()
         self.unsure_until = started if first_start else started + FLOW_LIFETIME_S
         self.recovered_at: float | None = None
         self.first_start = first_start
@@ -103,6 +109,9 @@
         if service is None:
             return [Count("dropped_wrong_service")]
         message = message._replace(service_id=short_id(service.name))
+        if self.host_name not in self.topology.hosts:
+            homes = self.topology.homes(message.flow)
+            return self.pass_on(message, homes[0]) if homes else [Count("dropped_no_host")]
         return self.route(message, service, event.now)
 
     def seek(self, message: Forward, now: float) -> list[Effect]:
@@ -117,19 +126,58 @@
         if now < self.unsure_until and self.own_id not in tried:
             return self.offer(message)
         if self.own_id not in tried:
-            message = message._replace(visited=(*message.visited, Visit(self.own_id, inf)))
+            message = self.with_visit(message, now)
             tried.add(self.own_id)
         following = self.next_to_ask(flow, tried, now)
-        if following is None:
+        if following is not None:
+            return [SendForward(following.address, message)]
+        if self.may_call_lost(message, now):
+            return self.reset_lost(message, "no upstream holds the flow")
+        return [Count("dropped_no_owner")]
+
+    def may_call_lost(self, message: Forward, now: float) -> bool:
+        """Tell whether a flow is lost that none of the hosts asked knows.
+
+        That is so if all were asked and no upstream can be missing in the view; or if all of them
+        have started lately and together, and none was heard of that the view lacks: then the
+        upstreams lost power too, or one of them would have kept the packet.
+        """
+        if len(message.visited) < len(self.topology.hosts):
+            return False
+        if self.view.is_settled(now):
+            return True
+        oldest = max(visit.load for visit in message.visited)
+        unknown = [name for name in self.heard_of if name not in self.topology.hosts]
+        return oldest < TOGETHER_S and not unknown
+
+    def reset_lost(self, message: Forward, reason: str) -> list[Effect]:
+        """Reset an open flow that its upstream has lost, so that its caller comes back at once."""
+        head = self.codec.read_head(message.payload)
+        if head.resets:
             return [Count("dropped_no_owner")]
-        return self.pass_on(message, following)
+        return [
+            Count("flows_lost"),
+            LogFlow(message.flow, "reset", (("reason", reason), ("asked", len(message.visited)))),
+            AnswerCaller(message.flow, self.codec.reset(message.flow, head.acknowledged)),
+        ]
+
+    def with_visit(self, message: Forward, now: float) -> Forward:
+        """Note in a packet that this host does not hold its flow, and for how long it has run."""
+        visit = Visit(self.own_id, now - self.started)
+        return message._replace(visited=(*message.visited, visit))
 
     def next_to_ask(self, flow: FlowKey, tried: set[int], now: float) -> Host | None:
-        """Return the next host that may know a flow: homes, former homes, then all by rank."""
+        """Return the next host that may know a flow: homes, former homes, then all by rank.
+
+        Each host is asked once, and no more than `MAXIMUM_ASKED` are.
+        """
+        if len(tried) >= MAXIMUM_ASKED:
+            return None
         former = self.former_homes("", flow, now, FLOW_LIFETIME_S)
         service = self.topology.service_of(flow)
-        others = self.topology.view(service.name).ranked(flow) if service else []
-        for host in (*self.topology.homes(flow), *former, *others):
+        peers = self.topology.view(service.name).ranked(flow) if service else []
+        everyone = self.topology.document.hosts
+        for host in (*self.topology.homes(flow), *former, *peers, *everyone):
             if short_id(host.name) not in tried and host.name in self.topology.hosts:
                 return host
         return None
@@ -257,12 +305,9 @@
         if head.opens:
             return self.on_opening_returned(owned, flow, payload, now)
         if owned is not None and owned.answered:
-            return [
-                Count("flows_lost"),
-                LogFlow(flow, "reset", (("reason", "upstream does not hold the flow"),)),
-                AnswerCaller(flow, self.codec.reset(flow, head.acknowledged)),
-                *self.give_up(owned, now),
-            ]
+            message = Forward(flow, 0, PacketKind.BELONGS, HOP_LIMIT, NO_ADDRESS, payload)
+            lost = self.reset_lost(message, "its upstream does not hold the flow")
+            return [*lost, *self.give_up(owned, now)]
         gone = self.give_up(owned, now) if owned is not None else []
         message = self.offered.pop(flow, None)
         if message is None:
@@ -272,8 +317,7 @@
             message = Forward(
                 flow, short_id(service.name), PacketKind.BELONGS, HOP_LIMIT, NO_ADDRESS, payload
             )
-        visited = (*message.visited, Visit(self.own_id, inf))
-        onward = message._replace(payload=payload, visited=visited)
+        onward = self.with_visit(message._replace(payload=payload), now)
         return [*gone, Count("packets_returned"), *self.seek(onward, now)]
 
     def on_opening_returned(
@@ -433,6 +477,8 @@
     def on_recovery_request(self, event: PeerMessageArrived) -> list[Effect]:
         """Register flows anew at a home that has restarted."""
         restarted = event.message.host
+        if len(self.heard_of) < MAXIMUM_HEARD_OF:
+            self.heard_of.add(restarted)
         for owned in self.flows.flows.values():
             if restarted in owned.homes:
                 row = owned.registration(self.host_name)
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -12,6 +12,7 @@
 from heatheryoke.core.backoff import Backoff
 from heatheryoke.core.effects import (
     AnswerCaller,
+    CloseFlow,
     Count,
     Deliver,
     DiscardQueued,
@@ -94,6 +95,7 @@
             SendForward: self.send,
             SendPeer: self.send,
             AnswerCaller: self.answer_caller,
+            CloseFlow: self.close_flow,
             DiscardQueued: self.discard_queued,
             Count: self.count,
             LogChange: self.log_change,
@@ -246,6 +248,9 @@
         """Send a message to another process."""
         self.peers.send(seal_datagram(self.node.epoch, effect.message), effect.to)
 
+    def close_flow(self, effect: CloseFlow) -> None:
+        """Do nothing: no socket belongs to a flow."""
+
     def discard_queued(self, effect: DiscardQueued) -> None:
         """Empty every socket's queue."""
         for port in self.ports():
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,23 +1,27 @@
 """Byte streams: heads, homes, placement, and the upstream as the truth about a flow."""
 
+import re
 from math import inf
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heatheryoke.core.effects import AnswerCaller, Deliver, SendForward, SendPeer
+from heatheryoke import core
+from heatheryoke.core.effects import AnswerCaller, Deliver, Effect, SendForward, SendPeer
 from heatheryoke.core.events import (
     CallerPacket,
     ForwardArrived,
     PeerMessageArrived,
+    PlatformUnavailable,
     StopRequested,
     StoreChanged,
     StoreRead,
     UpstreamPacket,
 )
 from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key
-from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Visit
+from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, RecoveryRequest, Visit
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
@@ -28,6 +32,9 @@
 from heatheryoke.core.routes import Route, RouteTable, Share
 from heatheryoke.core.stream_agent import StreamAgent
 from heatheryoke.core.stream_balancer import StreamBalancer
+from heatheryoke.daemons.json_log import JsonLog
+from heatheryoke.daemons.stream_application import StreamAgentApplication
+from heatheryoke.daemons.stream_settings import StreamSettings
 from heatheryoke.inventory.checks import short_id
 from heatheryoke.inventory.model import Address
 from heatheryoke.platform.packets import (
@@ -296,12 +303,43 @@
         flow = flow_of(1)
         assert not of_kind(make_agent().reduce(forward(flow, packet(flow, ACK))), Deliver)
 
-    def test_a_search_ends_without_a_reset(self):
-        agent, flow = make_agent(), flow_of(1)
-        visits = tuple(Visit(short_id(f"10.1.0.{n}"), inf) for n in range(2, 6))
-        effects = agent.reduce(forward(flow, packet(flow, ACK), visited=visits))
+    def asked_everyone(self, agent, now, flags=ACK, uptime_s=60.0):
+        """Let an agent be the last one asked for a flow that nobody knows."""
+        flow = flow_of(1)
+        visits = tuple(Visit(short_id(f"10.1.0.{n}"), uptime_s) for n in range(2, 6))
+        data = packet(flow, flags, 2, 501)
+        return agent.reduce(forward(flow, data, now=now, visited=visits))
+
+    def test_a_search_ends_silently_while_an_upstream_may_be_missing(self):
+        effects = self.asked_everyone(make_agent(), NOW + 0.5)
         assert not of_kind(effects, AnswerCaller | SendForward | Deliver)
 
+    def test_a_flow_that_nobody_holds_is_reset_once_the_view_is_settled(self):
+        agent = make_agent()
+        agent.reduce(StoreChanged(NOW + 6.9, ()))
+        (answer,) = of_kind(self.asked_everyone(agent, NOW + 7.0), AnswerCaller)
+        assert CODEC.read_head(answer.payload).sequence == 501
+
+    def test_it_is_not_reset_after_an_upstream_has_vanished_or_the_store_was_lost(self):
+        vanished, cut = make_agent(), make_agent()
+        vanished.reduce(StoreChanged(NOW + 6.0, (endpoint(5)._replace(revision=95, record=None),)))
+        cut.reduce(PlatformUnavailable(NOW + 6.0, "timeout"))
+        for agent in (vanished, cut):
+            assert not of_kind(self.asked_everyone(agent, NOW + 7.0), AnswerCaller)
+
+    def test_it_is_reset_at_once_if_all_hosts_started_together(self):
+        assert of_kind(self.asked_everyone(make_agent(), NOW + 0.5, uptime_s=1.0), AnswerCaller)
+
+    def test_it_is_not_reset_then_if_a_host_was_heard_of_that_the_view_lacks(self):
+        agent = make_agent()
+        agent.reduce(PeerMessageArrived(NOW, BALANCER, 3, RecoveryRequest("10.1.0.9", 1, 0)))
+        assert not of_kind(self.asked_everyone(agent, NOW + 0.5, uptime_s=1.0), AnswerCaller)
+
+    def test_a_reset_is_not_answered_by_one(self):
+        agent = make_agent()
+        agent.reduce(StoreChanged(NOW + 6.9, ()))
+        assert not of_kind(self.asked_everyone(agent, NOW + 7.0, RST), AnswerCaller)
+
     def test_both_ends_closed_end_a_flow_after_a_while(self):
         agent, flow = make_agent(), flow_of(1)
         opened(agent, flow)
@@ -318,6 +356,32 @@
         assert of_kind(agent.reduce(forward(flow, packet(flow, RST, 2, 501))), Deliver)
 
 
+class TestEffects:
+    """Every effect of the reducers is one that their application carries out."""
+
+    def test_all_have_handlers(self):
+        source = "".join(
+            (Path(core.__file__).parent / f"{name}.py").read_text()
+            for name in ("owner", "home", "stream_agent", "stream_balancer", "store_node")
+        )
+        settings = StreamSettings(
+            "a",
+            "10.1.0.1",
+            "north",
+            True,
+            (PORT, PORT),
+            BALANCER,
+            BALANCER,
+            BALANCER,
+            BALANCER,
+            BALANCER,
+            "live",
+        )
+        application = StreamAgentApplication(settings, Path("settings"), JsonLog("a"))
+        used = {kind for kind in Effect.__args__ if re.search(rf"\b{kind.__name__}\(", source)}
+        assert used - application.effect_handlers.keys() == set()
+
+
 class TestNoNewFlows:
     """An upstream that may not take a flow is given none, by whatever way the flow comes."""
 
@@ -354,6 +418,10 @@
         agent.reduce(StoreChanged(NOW, (withdrawal("south", 95),)))
         assert of_kind(agent.reduce(forward(flow, packet(flow, ACK, 2, 501))), Deliver)
 
+    def test_an_agent_whose_upstream_the_store_lacks_passes_first_packets_on(self):
+        agent, flow = make_agent(items=ITEMS[:1] + ITEMS[2:]), flow_of(1)
+        assert of_kind(agent.reduce(forward(flow, packet(flow, SYN))), SendForward)
+
 
 class TestView:
     def test_a_heartbeat_changes_no_topology(self):
