Let new flows wait for room at the agent; place at once after a restart

Cause: after a loss of power all callers come back within half a second; 500 attempts were refused at once, which used up their retries. Besides, homes that had just started let nobody place a flow for 0.5 s. Ruled out: longer queues at the upstream, which cannot be put in order and sheds what it cannot hold. Change: OpeningQueue (in time first, then the urgent), ServiceTimes; has_recovered_flows holds at once.

--- a/src/heatheryoke/core/routes.py
+++ b/src/heatheryoke/core/routes.py
@@ -41,6 +41,7 @@
     def __init__(self, version: int, routes: tuple[Route, ...]):
         self.version = version
         self.routes = {service_key(route.address): route for route in routes}
+        self.least_aim_s = min((route.aim_s for route in routes), default=0.0)
 
     def find(self, flow: FlowKey) -> Route | None:
         """Return the route of a flow, None if its address has none."""
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -24,7 +24,9 @@
 from heatheryoke.core.forwarder import NO_ADDRESS
 from heatheryoke.core.home import Home
 from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, RecoveryRequest, Visit
+from heatheryoke.core.opening_queue import OpeningQueue, Waiting
 from heatheryoke.core.ownership import OwnedFlow
+from heatheryoke.core.service_times import ServiceTimes
 from heatheryoke.core.store_node import StoreNode
 from heatheryoke.core.streams import OwnedStream, StreamCodec, StreamHead
 from heatheryoke.inventory.checks import short_id
@@ -40,10 +42,9 @@
 ENTRY_S = 75.0
 EXPIRY_BATCH = 200
 CLOSING_S = 4.0
-RECOVERY_S = 0.5
 FLOW_LIFETIME_S = 60.0
-OPENING_S = 0.3
-QUEUE_PER_UPSTREAM = 6
+OPENING_S = 0.5
+AHEAD_OF_SLOTS = 2
 BUSY_WEIGHT = 0.5
 FEED_WEIGHT = 0.05
 STOP_LIMIT_S = 1.5
@@ -72,10 +73,12 @@
         self.started = started
         self.heard_of: set[str] = set()
         self.unsure_until = started if first_start else started + FLOW_LIFETIME_S
-        self.recovered_at: float | None = None
+        self.has_asked_peers = False
         self.first_start = first_start
         self.feed_count = 0
-        self.waiting: dict[FlowKey, OwnedStream] = {}
+        self.in_progress: dict[FlowKey, OwnedStream] = {}
+        self.queue: OpeningQueue[Forward] = OpeningQueue()
+        self.service_times = ServiceTimes()
         self.ending: OrderedDict[FlowKey, OwnedStream] = OrderedDict()
         self.offered: OrderedDict[FlowKey, Forward] = OrderedDict()
         self.budget = OpeningBudget()
@@ -191,20 +194,61 @@
         return [Count("packets_offered"), Deliver(message.flow, message.payload)]
 
     def own(self, message: Forward, service: Service, generation: int, now: float) -> list[Effect]:
-        """Become the owner of a new flow, unless there is no room for it any more."""
+        """Become the owner of a new flow, at once or when there is room; or pass it on."""
+        if message.flow in self.queue:
+            return [Count("openings_repeated")]
         opens_feed = self.opens_feed(message, service)
         if self.load(service.name, opens_feed, now) == inf:
             return self.place_elsewhere(message, service, now)
+        if not self.has_room():
+            return self.hold(message, now)
+        return self.begin(message, service, now)
+
+    def has_room(self) -> bool:
+        """Tell whether the upstream can begin one more request now, or very soon."""
+        row = self.topology.endpoints.get((self.service, self.host_name))
+        return row is not None and len(self.in_progress) < row.slots + AHEAD_OF_SLOTS
+
+    def hold(self, message: Forward, now: float) -> list[Effect]:
+        """Let a new flow wait for room."""
+        route = self.topology.table.find(message.flow)
+        if route is None:
+            return [Count("dropped_no_route")]
+        self.queue.add(message.flow, Waiting(message, now, route.priority, route.aim_s))
+        facts = (("waiting", len(self.queue)), ("busy", len(self.in_progress)))
+        return [Count("openings_held"), LogFlow(message.flow, "held", facts)]
+
+    def serve_queue(self, now: float) -> list[Effect]:
+        """Begin flows that wait, as far as there is room; give up those that waited too long."""
+        if not self.queue:
+            return []
+        effects: list[Effect] = []
+        service = self.topology.services.get(self.service)
+        for row in self.queue.expired(now):
+            effects += self.refuse_flow(row.packet, service)
+        if not self.can_take(now):
+            for row in self.queue.clear():
+                effects += self.place_elsewhere(row.packet, service, now)
+        while self.queue and self.has_room() and self.can_take(now):
+            row = self.queue.take(now, self.service_s())
+            effects += self.begin(row.packet, service, now)
+        return effects
+
+    def begin(self, message: Forward, service: Service, now: float) -> list[Effect]:
+        """Become the owner of a new flow and deliver its first packet."""
+        opens_feed = self.opens_feed(message, service)
+        generation = message.generation
         owned = OwnedStream(message.flow, service.name, generation, 0, now)
         owned.via = message.via
         owned.visited = message.visited
         owned.feed = opens_feed
         self.adopt(owned, now)
         self.budget.spend(now)
+        self.start_request(owned, now)
         facts = (
             ("service", service.name),
             ("configuration", self.epoch),
-            ("busy", len(self.waiting)),
+            ("busy", len(self.in_progress)),
             ("flows", len(self.flows)),
             ("visited", len(message.visited)),
         )
@@ -237,10 +281,9 @@
         if not head.opens and owned.accepted is not None and not owned.answered:
             owned.answered = True
             self.registrar.register(owned, self.topology)
-        if head.length and owned.waiting_since is None:
-            owned.waiting_since = now
-            owned.requests += 1
-            self.waiting[owned.flow] = owned
+        if head.length and not owned.requested:
+            self.start_request(owned, now)
+            owned.requested = True
         owned.caller_closed |= head.closes or head.resets
         self.note_end(owned, head, now)
         return [Deliver(owned.flow, message.payload)]
@@ -259,7 +302,7 @@
         self.flows.touch(owned, event.now)
         if head.accepts:
             effects += self.on_accepted(owned, head, event.now)
-        elif head.length and owned.waiting_since is not None:
+        elif head.length and owned.requested:
             effects += self.on_answer(owned, event.now)
         owned.upstream_closed |= head.closes or head.resets
         self.note_end(owned, head, event.now)
@@ -289,11 +332,25 @@
             effects.append(SendPeer(owned.via, Hint(owned.flow, self.own_id)))
         return effects
 
+    def start_request(self, owned: OwnedStream, now: float) -> None:
+        """Note that a request is in progress; a new flow counts as one until its first comes."""
+        if owned.flow not in self.in_progress:
+            self.in_progress[owned.flow] = owned
+        row = self.topology.endpoints.get((self.service, self.host_name))
+        owned.waiting_since = now
+        owned.found_slot = row is not None and len(self.in_progress) <= row.slots
+
+    def end_request(self, owned: OwnedStream) -> None:
+        """Note that no request of a flow is in progress."""
+        self.in_progress.pop(owned.flow, None)
+        owned.requested = False
+
     def on_answer(self, owned: OwnedStream, now: float) -> list[Effect]:
-        """Note that the request in progress is being answered."""
-        self.waiting.pop(owned.flow, None)
-        owned.waiting_since = None
-        return []
+        """Note that the request in progress is being answered; begin what waits."""
+        if owned.found_slot:
+            self.service_times.add(now - owned.waiting_since)
+        self.end_request(owned)
+        return self.serve_queue(now)
 
     def on_returned(self, event: UpstreamPacket, head: StreamHead) -> list[Effect]:
         """Find another place for a packet that the upstream does not take."""
@@ -350,23 +407,31 @@
         row = self.topology.endpoints.get((service, self.host_name))
         return row if row is not None and row.address == self.upstream else None
 
-    def load(self, service: str, opens_feed: bool, now: float) -> float:
-        """Return this host's load for placement, infinite where it takes no new flows."""
-        row = self.endpoint_of(service)
+    def can_take(self, now: float) -> bool:
+        """Tell whether the upstream may be given new flows, be there room or not."""
+        row = self.endpoint_of(self.service)
         host = self.topology.hosts.get(self.host_name)
         if row is None or host is None or host.state is not HostState.ACTIVE:
-            return inf
+            return False
         if self.stopping_since is not None or len(self.flows) >= row.connections:
+            return False
+        return self.budget.allows(self.cold_rate(now), now)
+
+    def service_s(self) -> float:
+        """Return how long the upstream works on a request."""
+        return self.service_times.expected(self.topology.table.least_aim_s)
+
+    def load(self, service: str, opens_feed: bool, now: float) -> float:
+        """Return this host's load for placement, infinite where it takes no new flows."""
+        if service != self.service or not self.can_take(now):
             return inf
-        if not self.budget.allows(self.cold_rate(now), now):
-            return inf
-        busy = len(self.waiting)
-        if busy >= row.slots + QUEUE_PER_UPSTREAM:
+        slots = self.endpoint_of(service).slots
+        if not self.has_room() and not self.queue.has_room(self.service_s(), slots):
             return inf
-        offers = self.offers.count(now)
+        busy = len(self.in_progress) + len(self.queue) + self.offers.count(now)
         if opens_feed:
-            return (self.feed_count + BUSY_WEIGHT * busy + offers) / row.slots
-        return (busy + offers + FEED_WEIGHT * self.feed_count) / row.slots
+            return (self.feed_count + BUSY_WEIGHT * busy) / slots
+        return (busy + FEED_WEIGHT * self.feed_count) / slots
 
     def cold_rate(self, now: float) -> float | None:
         """Return how many flows a second the upstream may be given, None if it is warm."""
@@ -411,7 +476,7 @@
         if over and owned.ending_at is None:
             owned.ending_at = now + CLOSING_S
             self.ending[owned.flow] = owned
-            self.waiting.pop(owned.flow, None)
+            self.end_request(owned)
 
     def adopt(self, owned: OwnedFlow, now: float) -> None:
         """Enter a flow into the tables."""
@@ -421,7 +486,7 @@
 
     def forget_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
         """Forget the request in progress of a flow that is over."""
-        self.waiting.pop(owned.flow, None)
+        self.end_request(owned)
         self.ending.pop(owned.flow, None)
         self.feed_count -= owned.feed
         return []
@@ -444,11 +509,17 @@
             effects += self.give_up(owned, now)
         return effects
 
+    def expire_openings(self, now: float) -> None:
+        """Stop counting new flows whose first request does not come."""
+        for owned in list(self.in_progress.values()):
+            if not owned.requested and now - owned.waiting_since > OPENING_S:
+                self.end_request(owned)
+
     # Life of the process
 
     def has_recovered_flows(self, now: float) -> bool:
-        """Tell whether peers have had time to register their flows here again."""
-        return self.first_start or (self.recovered_at is not None and now >= self.recovered_at)
+        """Return True: a flow placed twice does no harm, its caller goes with one acceptance."""
+        return True
 
     def former_homes(self, service: str, flow: FlowKey, now: float, within_s: float) -> list[Host]:
         """Return a flow's homes before the last change of view, none if they have not moved."""
@@ -465,11 +536,9 @@
             homes = tuple(home.name for home in self.topology.homes(owned.flow))
             if homes != owned.homes:
                 self.registrar.register(owned, self.topology)
-        if self.recovered_at is not None:
-            return []
-        self.recovered_at = now + RECOVERY_S
-        if self.first_start:
+        if self.has_asked_peers or self.first_start:
             return []
+        self.has_asked_peers = True
         request = RecoveryRequest(self.host_name, self.incarnation, 0)
         hosts = self.topology.document.hosts
         return [SendPeer(host.address, request) for host in hosts if host.name != self.host_name]
@@ -495,10 +564,12 @@
     def advance(self, now: float) -> list[Effect]:
         """Run what is due: expiry and registrations."""
         effects = self.expire_ending(now)
+        self.expire_openings(now)
+        effects += self.serve_queue(now)
         effects += self.expire_flows(now)
         self.directory.expire(now, EXPIRY_BATCH)
         return effects + self.registrar.flush(self.flows, self.topology, now)
 
     def is_idle(self, now: float) -> bool:
         """Tell whether no request is in progress, or time is up."""
-        return not self.waiting or now - self.stopping_since > STOP_LIMIT_S
+        return not (self.in_progress or self.queue) or now - self.stopping_since > STOP_LIMIT_S
--- a/src/heatheryoke/core/streams.py
+++ b/src/heatheryoke/core/streams.py
@@ -59,7 +59,8 @@
     """One flow that this host's upstream serves, as its packets have shown it.
 
     `accepted` is the sequence number of the upstream's first packet, None while unknown.
-    `waiting_since` is when the request in progress came, None between requests.
+    `requested` tells that a request is in progress, which came at `waiting_since` and, if
+    `found_slot`, had no other before it.
     """
 
     __slots__ = (
@@ -67,7 +68,8 @@
         "caller_closed",
         "ending_at",
         "feed",
-        "requests",
+        "found_slot",
+        "requested",
         "upstream_closed",
         "via",
         "visited",
@@ -77,8 +79,9 @@
     def __init__(self, flow: FlowKey, service: str, generation: int, local_port: int, now: float):
         super().__init__(flow, service, generation, local_port, now)
         self.accepted: int | None = None
-        self.waiting_since: float | None = None
-        self.requests = 0
+        self.waiting_since = now
+        self.requested = False
+        self.found_slot = False
         self.feed = False
         self.caller_closed = False
         self.upstream_closed = False
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -95,7 +95,7 @@
             SendForward: self.send,
             SendPeer: self.send,
             AnswerCaller: self.answer_caller,
-            CloseFlow: self.close_flow,
+            CloseFlow: lambda effect: None,
             DiscardQueued: self.discard_queued,
             Count: self.count,
             LogChange: self.log_change,
@@ -248,9 +248,6 @@
         """Send a message to another process."""
         self.peers.send(seal_datagram(self.node.epoch, effect.message), effect.to)
 
-    def close_flow(self, effect: CloseFlow) -> None:
-        """Do nothing: no socket belongs to a flow."""
-
     def discard_queued(self, effect: DiscardQueued) -> None:
         """Empty every socket's queue."""
         for port in self.ports():
