--- a/src/heatheryoke/core/opening_queue.py
+++ b/src/heatheryoke/core/opening_queue.py
@@ -2,9 +2,9 @@
 
 Load pattern: every caller comes back at the same moment after an outage, many times what the
 upstreams can begin. To refuse all but the first would use up the callers' retries within
-milliseconds; to begin all would make each of them late. So some wait: those that can still be
-served within their aim go first, the urgent before the others, and who cannot be begun within
-`LONGEST_WAIT_S` is refused on arrival.
+milliseconds; to begin all would make each of them late. So as many wait as can be begun within
+`LONGEST_WAIT_S`: those that can still be served within their aim go first, the urgent before the
+others. Into a full queue a new flow comes in the place of one that is late already.
 """
 
 from typing import Generic, NamedTuple, TypeVar
@@ -40,14 +40,29 @@
     def __contains__(self, flow: FlowKey) -> bool:
         return flow in self.waiting
 
-    def has_room(self, service_s: float, slots: int) -> bool:
-        """Tell whether one more flow would be begun in time."""
+    def can_add(self, now: float, service_s: float, slots: int) -> bool:
+        """Tell whether one more flow may wait, be it in the place of a late one."""
+        if not self.is_full(service_s, slots):
+            return True
+        return any(self.is_late(row, now, service_s) for row in self.waiting.values())
+
+    def is_full(self, service_s: float, slots: int) -> bool:
+        """Tell whether one more flow would not be begun in time if none gave way."""
         wait_s = (len(self.waiting) + 1) * service_s / slots
-        return wait_s <= LONGEST_WAIT_S and len(self.waiting) < MAXIMUM_WAITING
+        return wait_s > LONGEST_WAIT_S or len(self.waiting) >= MAXIMUM_WAITING
 
-    def add(self, flow: FlowKey, row: Waiting[Packet]) -> None:
-        """Let a flow wait."""
-        self.waiting.setdefault(flow, row)
+    def add(
+        self, flow: FlowKey, row: Waiting[Packet], now: float, service_s: float, slots: int
+    ) -> Waiting[Packet] | None:
+        """Let a flow wait; return the one that gives way to it, if any."""
+        if flow in self.waiting:
+            return None
+        given_way = None
+        if self.is_full(service_s, slots) and self.waiting:
+            last = max(self.waiting, key=lambda key: self.rank(self.waiting[key], now, service_s))
+            given_way = self.waiting.pop(last)
+        self.waiting[flow] = row
+        return given_way
 
     def remove(self, flow: FlowKey) -> None:
         """Forget a flow."""
@@ -60,11 +75,13 @@
         flow = min(self.waiting, key=lambda key: self.rank(self.waiting[key], now, service_s))
         return self.waiting.pop(flow)
 
+    def is_late(self, row: Waiting[Packet], now: float, service_s: float) -> bool:
+        """Tell whether a flow begun now would miss its aim."""
+        return now + service_s > row.arrived + row.aim_s
+
     def rank(self, row: Waiting[Packet], now: float, service_s: float) -> tuple[bool, int, float]:
         """Return what orders a flow: in time, then urgent, then the one with the least time."""
-        aim_ends = row.arrived + row.aim_s
-        is_late = now + service_s > aim_ends
-        return is_late, row.priority, aim_ends
+        return self.is_late(row, now, service_s), row.priority, row.arrived + row.aim_s
 
     def expired(self, now: float) -> list[Waiting[Packet]]:
         """Remove and return the flows that have waited too long."""
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -214,9 +214,13 @@
         route = self.topology.table.find(message.flow)
         if route is None:
             return [Count("dropped_no_route")]
-        self.queue.add(message.flow, Waiting(message, now, route.priority, route.aim_s))
+        row = Waiting(message, now, route.priority, route.aim_s)
+        slots = self.endpoint_of(self.service).slots
+        given_way = self.queue.add(message.flow, row, now, self.service_s(), slots)
+        service = self.topology.services[self.service]
+        refused = self.refuse_flow(given_way.packet, service) if given_way else []
         facts = (("waiting", len(self.queue)), ("busy", len(self.in_progress)))
-        return [Count("openings_held"), LogFlow(message.flow, "held", facts)]
+        return [*refused, Count("openings_held"), LogFlow(message.flow, "held", facts)]
 
     def serve_queue(self, now: float) -> list[Effect]:
         """Begin flows that wait, as far as there is room; give up those that waited too long."""
@@ -426,7 +430,7 @@
         if service != self.service or not self.can_take(now):
             return inf
         slots = self.endpoint_of(service).slots
-        if not self.has_room() and not self.queue.has_room(self.service_s(), slots):
+        if not self.has_room() and not self.queue.can_add(now, self.service_s(), slots):
             return inf
         busy = len(self.in_progress) + len(self.queue) + self.offers.count(now)
         if opens_feed:
--- a/src/heatheryoke/daemons/stream_role.py
+++ b/src/heatheryoke/daemons/stream_role.py
@@ -3,11 +3,14 @@
 Loads only what that role needs, since such processes are small and often started.
 """
 
-import asyncio
 import os
 import sys
 from pathlib import Path
 
+sys.modules.setdefault("ssl", None)  # asyncio then leaves TLS out, which nothing here speaks
+
+import asyncio
+
 from heatheryoke.daemons.json_log import JsonLog
 from heatheryoke.daemons.stream_application import STREAM_APPLICATIONS
 from heatheryoke.daemons.stream_settings import read_stream_settings
