--- a/src/heatheryoke/cli.py
+++ b/src/heatheryoke/cli.py
@@ -266,11 +266,16 @@
 def demo(
     deployment: Annotated[str, typer.Option(help="sundarban or sangam.")] = "sundarban",
     seed: Annotated[int, typer.Option(help="Seed of the fabric and the callers.")] = 1,
+    streams: Annotated[bool, typer.Option(help="Byte streams on the users' platform.")] = False,
 ) -> None:
     """Run a whole deployment on loopback for about 20 seconds, with changes while it runs.
 
-    Example: heatheryoke demo --deployment sangam
+    Example: heatheryoke demo --streams
     """
+    if streams:
+        from heatheryoke.standins.stream_demo import run_stream_demo
+
+        raise typer.Exit(asyncio.run(run_stream_demo(seed, console)))
     from heatheryoke.standins.demo import run_demo
     from heatheryoke.standins.deployments import DEPLOYMENTS
 
--- a/src/heatheryoke/daemons/json_log.py
+++ b/src/heatheryoke/daemons/json_log.py
@@ -15,22 +15,26 @@
 class JsonLog:
     """Writes one line an entry; beyond the bound entries are left out and counted.
 
-    Lines of the process's own life and beliefs are always written.
+    Lines of the process's own life and beliefs are always written. Without a descriptor nothing
+    is.
     """
 
-    def __init__(self, process: str, descriptor: int = STANDARD_OUTPUT):
+    def __init__(self, process: str, descriptor: int | None = STANDARD_OUTPUT):
         self.process = process
         self.descriptor = descriptor
         self.tokens = BURST_LINES
         self.refilled_at = time.monotonic()
         self.left_out = 0
-        os.set_blocking(descriptor, False)
+        if descriptor is not None:
+            os.set_blocking(descriptor, False)
 
     def write(self, event: str, bounded: bool = False, **facts: Any) -> None:
         """Write one entry."""
         if bounded and not self.take_token():
             self.left_out += 1
             return
+        if self.descriptor is None:
+            return
         entry = {"time": round(time.time(), 4), "process": self.process, "event": event, **facts}
         if self.left_out:
             entry["left_out"] = self.left_out
--- /dev/null
+++ b/src/heatheryoke/standins/stream_caller.py
@@ -0,0 +1,167 @@
+"""A caller of byte streams: it opens flows, asks, and notes what breaks."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from enum import Enum
+
+from heatheryoke.core.flows import UDP, FlowKey, FlowTuple, flow_key
+from heatheryoke.daemons.datagrams import Datagram, DatagramPort
+from heatheryoke.inventory.model import Address
+from heatheryoke.platform.packets import ACK, FIN, RST, SYN, PacketCodec, Side, packet_flow
+from heatheryoke.standins.stream_packets import Packet, build_packet, read_packet
+
+__all__ = ["Outcome", "StreamCaller", "StreamFlow"]
+
+COPIES_S = (0.2, 0.4, 0.8)
+RETRANSMIT_S = 0.2
+LONGEST_RETRANSMIT_S = 1.6
+FIRST_PORT = 1_024
+
+
+class Outcome(Enum):
+    """How a request ended."""
+
+    SERVED = "served"
+    NOT_OPENED = "not opened"
+    RESET = "reset"
+    SILENT = "silent"
+    MIXED = "mixed"
+
+
+class StreamFlow:
+    """One flow of a caller."""
+
+    def __init__(self, caller: "StreamCaller", key: FlowKey):
+        self.caller = caller
+        self.key = key
+        self.sequence = caller.random.getrandbits(31)
+        self.expected: int | None = None
+        self.received = b""
+        self.was_reset = False
+        self.requests = 0
+        self.news = asyncio.Event()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether an upstream has accepted the flow."""
+        return self.expected is not None
+
+    def on_packet(self, packet: Packet) -> None:
+        """Take a packet of the flow."""
+        if packet.has(RST):
+            self.was_reset = True
+        elif packet.has(SYN) and self.expected is None:
+            self.expected = (packet.head.sequence + 1) % 2**32
+            self.sequence = (self.sequence + 1) % 2**32
+        elif packet.data and packet.head.sequence == self.expected:
+            self.received += packet.data
+            self.expected = (self.expected + len(packet.data)) % 2**32
+        if packet.data:
+            self.send(ACK)
+        self.news.set()
+
+    def send(self, flags: int, data: bytes = b"") -> None:
+        """Send a packet of the flow."""
+        acknowledged = self.expected or 0
+        self.caller.send(build_packet(self.key, flags, self.sequence, acknowledged, data))
+
+    async def open(self) -> Outcome | None:
+        """Open the flow; return None when it is open."""
+        for copy, wait_s in enumerate(COPIES_S):
+            self.caller.send(build_packet(self.key, SYN, self.sequence, copy))
+            await self.wait(lambda: self.is_open or self.was_reset, wait_s)
+            if self.was_reset:
+                return Outcome.RESET
+            if self.is_open:
+                return None
+        return Outcome.NOT_OPENED
+
+    async def ask(self, timeout_s: float) -> Outcome:
+        """Send a request and wait for its whole answer."""
+        if not self.is_open:
+            refused = await self.open()
+            if refused is not None:
+                return refused
+        self.requests += 1
+        line = f"GET /{self.requests}".encode()
+        request = line + b"\r\n\r\n"
+        self.received = b""
+        loop = asyncio.get_running_loop()
+        ends, wait_s = loop.time() + timeout_s, RETRANSMIT_S
+        while loop.time() < ends and not self.was_reset:
+            self.send(ACK, request)
+            await self.wait(lambda: self.is_answered() or self.was_reset, wait_s)
+            if self.is_answered():
+                self.sequence = (self.sequence + len(request)) % 2**32
+                return Outcome.SERVED if line in self.received else Outcome.MIXED
+            wait_s = min(LONGEST_RETRANSMIT_S, 2 * wait_s)
+        return Outcome.RESET if self.was_reset else Outcome.SILENT
+
+    def is_answered(self) -> bool:
+        """Tell whether a whole answer is there."""
+        head, separator, body = self.received.partition(b"\r\n\r\n")
+        return bool(separator) and len(body) >= int(head.rpartition(b" ")[2])
+
+    async def wait(self, condition: Callable[[], bool], timeout_s: float) -> None:
+        """Wait until a condition holds, or the time is over."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + timeout_s
+        while not condition() and loop.time() < ends:
+            self.news.clear()
+            try:
+                await asyncio.wait_for(self.news.wait(), ends - loop.time())
+            except TimeoutError:
+                return
+
+    def close(self) -> None:
+        """Close the flow."""
+        self.send(FIN | ACK)
+        self.caller.flows.pop(self.key, None)
+
+
+class StreamCaller:
+    """One client address with its flows; `route` names the balancer for each packet."""
+
+    def __init__(self, address: Address, route: Callable[[FlowKey], Address | None], seed: int):
+        self.address = address
+        self.route = route
+        self.random = random.Random(seed)
+        self.flows: dict[FlowKey, StreamFlow] = {}
+        self.next_port = FIRST_PORT
+        self.codec = PacketCodec()
+        self.altered = 0
+        self.port: DatagramPort | None = None
+
+    async def start(self) -> None:
+        """Open the socket."""
+        self.port = DatagramPort(asyncio.get_running_loop(), self.address, self.on_datagrams)
+
+    async def close(self) -> None:
+        """Close the socket."""
+        self.port.close()
+
+    def flow(self, service: Address) -> StreamFlow:
+        """Return a new flow to a service, from a port that was not used before."""
+        self.next_port += 1
+        source = Address(self.address.ip, self.next_port)
+        flow = StreamFlow(self, flow_key(FlowTuple(UDP, source, service)))
+        self.flows[flow.key] = flow
+        return flow
+
+    def send(self, packet: bytes) -> None:
+        """Send a packet to whichever balancer the router names now."""
+        balancer = self.route(packet_flow(packet, Side.CALLER))
+        if balancer is not None:
+            self.port.send(packet, balancer)
+
+    def on_datagrams(self, batch: list[Datagram]) -> None:
+        """Take packets of this caller's flows."""
+        for data, _ in batch:
+            packet = read_packet(data)
+            if packet is None:
+                self.altered += 1
+                continue
+            flow = self.flows.get(packet_flow(data, Side.UPSTREAM))
+            if flow is not None:
+                flow.on_packet(packet)
--- /dev/null
+++ b/src/heatheryoke/standins/stream_packets.py
@@ -0,0 +1,70 @@
+"""Packets as callers and upstreams write them, with a sum that shows any change on the way."""
+
+from typing import NamedTuple
+
+import xxhash
+
+from heatheryoke.core.flows import FLOW_FORMAT, FlowKey
+from heatheryoke.platform.packets import ACK, BOUNCED, FIN, HEAD, RST, SYN, PacketHead
+
+__all__ = ["Packet", "build_packet", "read_packet"]
+
+SUM_SEED = 0x5EED
+KEYED_FIELDS = ("source_port", "source", "target_port", "target", "sequence", "acknowledged")
+
+
+class Packet(NamedTuple):
+    """A packet that has come whole, as its sender wrote it."""
+
+    head: PacketHead
+    data: bytes
+
+    def has(self, flag: int) -> bool:
+        """Tell whether a flag is set."""
+        return bool(self.head.flags & flag)
+
+
+def _sum(head: PacketHead, data: bytes) -> int:
+    parts = [str(getattr(head, name)) for name in KEYED_FIELDS]
+    parts.append(str(head.flags & ~BOUNCED))
+    return xxhash.xxh32_intdigest("|".join(parts).encode() + data, SUM_SEED)
+
+
+def build_packet(
+    flow: FlowKey,
+    flags: int,
+    sequence: int = 0,
+    acknowledged: int = 0,
+    data: bytes = b"",
+    to_caller: bool = False,
+) -> bytes:
+    """Return a packet of a flow, from its caller or to it."""
+    _, source, sport, target, dport = FLOW_FORMAT.unpack(flow)
+    if to_caller:
+        source, sport, target, dport = target, dport, source, sport
+    modulus = 2**32
+    head = PacketHead(
+        0,
+        sport,
+        source[::-1],
+        dport,
+        target[::-1],
+        0,
+        flags,
+        0,
+        sequence % modulus,
+        acknowledged % modulus,
+        len(data),
+    )
+    return HEAD.pack(*head._replace(sum=_sum(head, data))) + data
+
+
+def read_packet(packet: bytes) -> Packet | None:
+    """Read a packet; None if it is not as some sender wrote it, but for a reset of no sender's."""
+    if len(packet) < HEAD.size:
+        return None
+    head, data = PacketHead(*HEAD.unpack_from(packet)), packet[HEAD.size :]
+    own_reset = head.flags == RST and head.sum == 0 and not data
+    if head.echo or head.pad or head.flags & ~(SYN | ACK | FIN | RST):
+        return None
+    return Packet(head, data) if own_reset or head.sum == _sum(head, data) else None
--- /dev/null
+++ b/src/heatheryoke/standins/stream_site.py
@@ -0,0 +1,255 @@
+"""A deployment of byte streams on loopback: each host has an address of its own."""
+
+import asyncio
+import random
+from pathlib import Path
+from typing import NamedTuple
+
+import aiohttp
+import xxhash
+
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.daemons.json_log import JsonLog
+from heatheryoke.daemons.stream_application import STREAM_APPLICATIONS, StreamApplication
+from heatheryoke.daemons.stream_settings import StreamSettings
+from heatheryoke.inventory.model import Address, Role
+from heatheryoke.platform.ready import READY_PATH
+from heatheryoke.standins.stream_caller import StreamCaller
+from heatheryoke.standins.stream_store import StreamStore
+from heatheryoke.standins.stream_upstream import StreamUpstream
+
+__all__ = ["FEEDS", "SHEETS", "Ports", "StreamHost", "StreamSite"]
+
+DOMAINS = ("domain-1", "domain-2", "domain-3")
+FEEDS = "feeds"
+SHEETS = "sheets"
+BALANCERS = 3
+AGENTS = {FEEDS: 5, SHEETS: 3}
+PROBE_S = 0.25
+MISSES = 2
+HEARTBEAT_S = 1.0
+FIRST_PORTS = 20_000
+LAST_PORTS = 30_000
+
+
+class Ports(NamedTuple):
+    """The ports of a site, the same at every host."""
+
+    callers: int
+    peers: int
+    status: int
+    answers: int
+    app: int
+    store: int
+
+
+class StreamHost(NamedTuple):
+    """One host and what runs there."""
+
+    name: str
+    role: Role
+    ip: str
+    failure_domain: str
+    service: str | None = None
+
+
+class StreamSite:
+    """Store, upstreams, router and the processes of the system, in one program.
+
+    Subclasses start the system's processes in another way.
+    """
+
+    def __init__(self, seed: int):
+        self.random = random.Random(seed)
+        first = self.random.randrange(FIRST_PORTS, LAST_PORTS, 10)
+        self.ports = Ports(*range(first, first + len(Ports._fields)))
+        self.store = StreamStore()
+        self.store_address = Address("127.23.0.1", self.ports.store)
+        self.hosts = {host.name: host for host in self.make_hosts()}
+        self.upstreams: dict[str, StreamUpstream] = {}
+        self.applications: dict[str, StreamApplication] = {}
+        self.callers: list[StreamCaller] = []
+        self.misses: dict[str, int] = {}
+        self.version = 0
+        self.first_start = True
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def make_hosts(self) -> list[StreamHost]:
+        """Return all hosts, spread over the failure domains."""
+        hosts = [
+            StreamHost(f"balancer-{n}", Role.BALANCER, f"127.20.0.{n}", DOMAINS[n % 3])
+            for n in range(1, BALANCERS + 1)
+        ]
+        services = [name for name, count in AGENTS.items() for _ in range(count)]
+        for number, service in enumerate(services, 1):
+            ip, domain = f"127.21.0.{number}", DOMAINS[number % 3]
+            hosts.append(StreamHost(f"agent-{number}", Role.AGENT, ip, domain, service))
+        return hosts
+
+    def service_address(self, service: str) -> Address:
+        """Return the address that callers use for a service."""
+        return Address("198.18.0.1", 1_000 + list(AGENTS).index(service))
+
+    # Life cycle
+
+    async def start(self) -> None:
+        """Start everything and wait until the balancers are ready."""
+        await self.store.start(self.store_address)
+        self.publish()
+        for host in self.hosts.values():
+            if host.role is Role.AGENT:
+                await self.start_upstream(host)
+        for host in self.hosts.values():
+            await self.start_process(host)
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(self.probe()), loop.create_task(self.beat())]
+        while len(self.in_rotation()) < BALANCERS:
+            await asyncio.sleep(PROBE_S)
+        self.first_start = False
+
+    async def close(self) -> None:
+        """End everything."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for caller in self.callers:
+            await caller.close()
+        for name in list(self.applications):
+            await self.kill_process(name)
+        for upstream in list(self.upstreams.values()):
+            await upstream.close()
+        await self.store.close()
+
+    def publish(self, without: str = "") -> None:
+        """Write a new configuration, perhaps without the route of one service."""
+        self.version += 3
+        kinds = {FEEDS: "idempotent", SHEETS: "download"}
+        routes = [
+            {
+                "name": f"r-{service}",
+                "host": self.service_address(service).ip,
+                "prefix": f"/{self.service_address(service).port}/",
+                "kind": kind,
+                "timeoutMs": 2_000,
+                "targetLatencyMs": 200,
+                "priority": 1,
+                "service": service,
+                "maxAttempts": 2,
+            }
+            for service, kind in kinds.items()
+            if service != without
+        ]
+        services = [
+            {"name": service, "maxConns": 2_000, "warmupS": 2.0, "warmupPerS": 0.0}
+            for service in kinds
+        ]
+        limits = {"idleTimeoutMs": 15_000}
+        value = {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+        self.store.put("op/config", value)
+
+    async def start_upstream(self, host: StreamHost) -> None:
+        """Start the upstream of a host, as a new incarnation."""
+        app = Address(host.ip, self.ports.app)
+        answers = Address(host.ip, self.ports.answers)
+        name = f"i-{self.random.getrandbits(32):08x}"
+        upstream = StreamUpstream(name, host.service, host.failure_domain, app, answers, self.store)
+        self.upstreams[host.name] = upstream
+        await upstream.start()
+
+    # The system's processes
+
+    def settings(self, host: StreamHost) -> StreamSettings:
+        """Return the settings of a host's process."""
+        is_agent = host.role is Role.AGENT
+        return StreamSettings(
+            host.name,
+            host.ip,
+            host.failure_domain,
+            self.first_start,
+            (self.ports.peers, self.ports.peers),
+            Address(host.ip, self.ports.callers),
+            Address(host.ip, self.ports.status),
+            self.store_address,
+            Address(host.ip, self.ports.answers) if is_agent else None,
+            Address(host.ip, self.ports.app) if is_agent else None,
+            host.service,
+        )
+
+    async def start_process(self, host: StreamHost) -> None:
+        """Start a host's process."""
+        kind = STREAM_APPLICATIONS[host.role]
+        application = kind(
+            self.settings(host), Path(host.name), JsonLog(host.name, descriptor=None)
+        )
+        self.applications[host.name] = application
+        await application.start()
+
+    async def stop_process(self, name: str) -> None:
+        """Stop a process gracefully."""
+        application = self.applications.pop(name)
+        application.request_stop()
+        await application.stopped.wait()
+        application.close()
+
+    async def kill_process(self, name: str) -> None:
+        """End a process at once."""
+        self.applications.pop(name).close()
+
+    # The platform's router and the upstreams' heartbeats
+
+    async def probe(self) -> None:
+        """Ask each balancer whether it is ready."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                for host in self.hosts.values():
+                    if host.role is Role.BALANCER:
+                        ready = await self.is_ready(session, host)
+                        self.misses[host.name] = 0 if ready else self.missed(host.name) + 1
+                await asyncio.sleep(PROBE_S)
+
+    def missed(self, name: str) -> int:
+        """Return how many probes in a row a balancer has missed."""
+        return self.misses.get(name, MISSES)
+
+    async def is_ready(self, session: aiohttp.ClientSession, host: StreamHost) -> bool:
+        """Make one call."""
+        try:
+            url = f"http://{host.ip}:{self.ports.status}{READY_PATH}"
+            async with session.get(url) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def beat(self) -> None:
+        """Let every upstream write its entry now and then."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for upstream in self.upstreams.values():
+                upstream.beat()
+
+    def in_rotation(self) -> list[StreamHost]:
+        """Return the balancers that get callers' packets."""
+        return [host for host in self.hosts.values() if self.missed(host.name) < MISSES]
+
+    def route(self, flow: FlowKey) -> Address | None:
+        """Return the balancer of a flow's next packet; any change of rotation moves most flows."""
+        nodes = self.in_rotation()
+        if not nodes:
+            return None
+        host = nodes[xxhash.xxh32_intdigest(flow) % len(nodes)]
+        return Address(host.ip, self.ports.callers)
+
+    async def add_caller(self) -> StreamCaller:
+        """Start one more caller."""
+        number = len(self.callers) + 1
+        address = Address(f"127.22.0.{number}", self.ports.callers)
+        caller = StreamCaller(address, self.route, number)
+        await caller.start()
+        self.callers.append(caller)
+        return caller
--- /dev/null
+++ b/src/heatheryoke/standins/stream_store.py
@@ -0,0 +1,116 @@
+"""The platform's store: items under a growing revision, read by ranges and watched."""
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+from aiohttp import web
+
+from heatheryoke.inventory.model import Address
+
+__all__ = ["StreamStore"]
+
+PAGE_ITEMS = 50
+HISTORY_EVENTS = 10_000
+DOWN_STATUS = 503
+
+
+class StreamStore:
+    """Holds items in memory; it can be down, slow, or forget its history."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items: dict[str, dict[str, Any]] = {}
+        self.events: list[dict[str, Any]] = []
+        self.oldest = 1
+        self.is_down = False
+        self.delay_s = 0.0
+        self.calls = 0
+        self.changed = asyncio.Event()
+        self.runner: web.AppRunner | None = None
+
+    async def start(self, address: Address) -> None:
+        """Listen."""
+        app = web.Application()
+        app.router.add_get("/v1/kv-range", self.on_range)
+        app.router.add_get("/v1/kv-watch", self.on_watch)
+        self.runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, address.ip, address.port, shutdown_timeout=0.2).start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        self.wake()
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def wake(self) -> None:
+        """Let every waiting watch look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, value: Any) -> None:
+        """Write an item; bytes are kept as they are."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {"key": key, "value": base64.b64encode(data).decode(), "revision": self.revision}
+        self.items[key] = item
+        self.note(item)
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def note(self, event: dict[str, Any]) -> None:
+        """Add to the history."""
+        self.events.append(event)
+        if len(self.events) > HISTORY_EVENTS:
+            self.forget_history(HISTORY_EVENTS // 2)
+        self.wake()
+
+    def forget_history(self, keep: int = 0) -> None:
+        """Drop all but the last events; watches from before get 410."""
+        dropped = self.events[: len(self.events) - keep]
+        if dropped:
+            self.oldest = dropped[-1]["revision"]
+        self.events = self.events[len(dropped) :]
+        self.wake()
+
+    async def admit(self) -> None:
+        """Count a call; raise if the store is down."""
+        self.calls += 1
+        await asyncio.sleep(self.delay_s)
+        if self.is_down:
+            raise web.HTTPServiceUnavailable
+
+    async def on_range(self, request: web.Request) -> web.Response:
+        """Answer with a page of items."""
+        await self.admit()
+        prefix, after = request.query.get("prefix", ""), request.query.get("after", "")
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return web.json_response({"items": page, "hasMore": more, "currentRev": self.revision})
+
+    async def on_watch(self, request: web.Request) -> web.Response:
+        """Answer with the events after a revision, or with none after the wait."""
+        await self.admit()
+        prefix, after = request.query.get("prefix", ""), int(request.query["after"])
+        ends = asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1000
+        while True:
+            if self.is_down:
+                raise web.HTTPServiceUnavailable
+            if after < self.oldest - 1:
+                raise web.HTTPGone
+            rows = [row for row in self.events if row["revision"] > after]
+            rows = [row for row in rows if row["key"].startswith(prefix)]
+            left_s = ends - asyncio.get_running_loop().time()
+            if rows or left_s <= 0:
+                return web.json_response({"events": rows, "currentRev": self.revision})
+            try:
+                await asyncio.wait_for(self.changed.wait(), left_s)
+            except TimeoutError:
+                continue
--- /dev/null
+++ b/src/heatheryoke/standins/stream_upstream.py
@@ -0,0 +1,178 @@
+"""An upstream of byte streams: it answers requests, and returns what is not its."""
+
+import asyncio
+import random
+import time
+
+from heatheryoke.core.flows import FlowKey, describe_flow
+from heatheryoke.daemons.datagrams import Datagram, DatagramPort
+from heatheryoke.inventory.model import Address
+from heatheryoke.platform.packets import ACK, BOUNCED, FIN, RST, SYN, Side, packet_flow
+from heatheryoke.standins.stream_packets import Packet, build_packet, read_packet
+from heatheryoke.standins.stream_store import StreamStore
+
+__all__ = ["StreamUpstream"]
+
+PACKET_DATA = 1_200
+RETRANSMIT_S = 0.2
+RETRANSMISSIONS = 5
+FLAGS_AT = 20
+
+
+class Connection:
+    """One flow at the upstream."""
+
+    def __init__(self, sequence: int, expected: int):
+        self.sequence = sequence
+        self.expected = expected
+        self.acknowledged = sequence
+        self.closed = False
+
+
+class StreamUpstream:
+    """Works on `slots` requests at once, each for `work_s`, and tells the store of itself."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        app: Address,
+        answers: Address,
+        store: StreamStore,
+    ):
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.app = app
+        self.answers = answers
+        self.store = store
+        self.slots = 4
+        self.work_s = 0.02
+        self.response_bytes = 3_000
+        self.state = "ready"
+        self.born_ms = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.connections: dict[FlowKey, Connection] = {}
+        self.served = 0
+        self.opened = 0
+        self.altered = 0
+        self.free = asyncio.Semaphore(self.slots)
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.port: DatagramPort | None = None
+        self.random = random.Random(name)
+
+    async def start(self) -> None:
+        """Listen, and register."""
+        self.port = DatagramPort(asyncio.get_running_loop(), self.app, self.on_datagrams)
+        self.beat()
+
+    async def close(self) -> None:
+        """End at once, and leave the store."""
+        for task in self.tasks:
+            task.cancel()
+        self.port.close()
+        self.store.delete(f"servers/{self.name}")
+
+    def set_state(self, state: str) -> None:
+        """Report another state."""
+        self.state = state
+        self.beat()
+
+    def beat(self) -> None:
+        """Write this upstream's entry."""
+        self.sequence += 1
+        self.store.put(
+            f"servers/{self.name}",
+            {
+                "service": self.service,
+                "address": str(self.app),
+                "zone": self.domain,
+                "version": "v1",
+                "concurrency": self.slots,
+                "state": self.state,
+                "warmupLeftMs": 0,
+                "sequence": self.sequence,
+                "born": self.born_ms,
+            },
+        )
+
+    def on_datagrams(self, batch: list[Datagram]) -> None:
+        """Take packets from the agent."""
+        for data, _ in batch:
+            packet = read_packet(data)
+            if packet is None or (packet.has(SYN) and packet.has(ACK)):
+                self.altered += 1
+                continue
+            self.on_packet(packet_flow(data, Side.CALLER), packet, data)
+
+    def on_packet(self, flow: FlowKey, packet: Packet, data: bytes) -> None:
+        """Handle one packet of a flow, or return it."""
+        connection = self.connections.get(flow)
+        if packet.has(SYN):
+            self.on_opening(flow, packet, connection)
+        elif connection is None:
+            returned = bytearray(data)
+            returned[FLAGS_AT] |= BOUNCED
+            self.port.send(bytes(returned), self.answers)
+        elif packet.has(RST):
+            del self.connections[flow]
+        else:
+            self.on_segment(flow, packet, connection)
+
+    def on_opening(self, flow: FlowKey, packet: Packet, connection: Connection | None) -> None:
+        """Accept a flow, once."""
+        if connection is None:
+            self.opened += 1
+            start = self.random.getrandbits(32)
+            connection = Connection(start + 1, packet.head.sequence + 1)
+            self.connections[flow] = connection
+        self.send(flow, SYN | ACK, connection.sequence - 1, connection.expected)
+
+    def on_segment(self, flow: FlowKey, packet: Packet, connection: Connection) -> None:
+        """Take data and acknowledgements; answer a request, once."""
+        head = packet.head
+        connection.acknowledged = head.acknowledged
+        if packet.has(FIN):
+            self.send(flow, FIN | ACK, connection.sequence, head.sequence + 1)
+            connection.closed = True
+            return
+        if not packet.data:
+            return
+        if head.sequence != connection.expected:
+            self.send(flow, ACK, connection.sequence, connection.expected)
+            return
+        connection.expected = (connection.expected + len(packet.data)) % 2**32
+        self.send(flow, ACK, connection.sequence, connection.expected)
+        self.spawn(self.work(flow, connection, packet.data))
+
+    async def work(self, flow: FlowKey, connection: Connection, request: bytes) -> None:
+        """Work on a request and send its answer until it is acknowledged."""
+        async with self.free:
+            await asyncio.sleep(self.work_s)
+        self.served += 1
+        line = request.split(b"\r\n", 1)[0]
+        body = (line + b" " + describe_flow(flow).encode() + b" ").ljust(self.response_bytes, b".")
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        data, start = head + body, connection.sequence
+        connection.sequence = (start + len(data)) % 2**32
+        for attempt in range(RETRANSMISSIONS):
+            for at in range(0, len(data), PACKET_DATA):
+                part = data[at : at + PACKET_DATA]
+                self.send(flow, ACK, start + at, connection.expected, part)
+            await asyncio.sleep(RETRANSMIT_S * 2**attempt)
+            if connection.acknowledged == connection.sequence:
+                return
+
+    def send(
+        self, flow: FlowKey, flags: int, sequence: int, acknowledged: int, data: bytes = b""
+    ) -> None:
+        """Send a packet to the flow's caller by way of the agent."""
+        packet = build_packet(flow, flags, sequence, acknowledged, data, to_caller=True)
+        self.port.send(packet, self.answers)
+
+    def spawn(self, coroutine) -> None:
+        """Run a task until it ends."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/tests/test_stream_site.py
@@ -0,0 +1,73 @@
+"""The whole path of byte streams on loopback, with the parts replaced while callers use it."""
+
+import asyncio
+
+from heatheryoke.standins.stream_caller import Outcome
+from heatheryoke.standins.stream_demo import StreamDemo
+from heatheryoke.standins.stream_site import FEEDS, StreamSite
+
+
+class TestDemo:
+    def test_keeps_every_promise(self):
+        async def play():
+            demo = StreamDemo(StreamSite(seed=2))
+            await demo.start()
+            try:
+                await demo.run()
+                return demo.checks(), demo.feeds[Outcome.SERVED], demo.sheets[Outcome.SERVED]
+            finally:
+                await demo.close()
+
+        checks, feeds, sheets = asyncio.run(play())
+        assert [str(check) for check in checks if not check.kept] == []
+        assert feeds > 300 and sheets > 100
+
+
+class TestLostUpstream:
+    def test_callers_of_an_upstream_that_was_replaced_are_reset_and_served_again(self):
+        async def play():
+            site = StreamSite(seed=3)
+            await site.start()
+            try:
+                flows = [
+                    (await site.add_caller()).flow(site.service_address(FEEDS)) for _ in range(8)
+                ]
+                first = [await flow.ask(5.0) for flow in flows]
+                for name in ("agent-1", "agent-2", "agent-3", "agent-4", "agent-5"):
+                    await site.upstreams[name].close()
+                    await site.start_upstream(site.hosts[name])
+                second = [await flow.ask(5.0) for flow in flows]
+                again = [flow.caller.flow(site.service_address(FEEDS)) for flow in flows]
+                return first, second, [await flow.ask(5.0) for flow in again]
+            finally:
+                await site.close()
+
+        first, second, third = asyncio.run(play())
+        assert set(first) == {Outcome.SERVED}
+        assert set(second) == {Outcome.RESET}
+        assert set(third) == {Outcome.SERVED}
+
+
+class TestBadInput:
+    def test_it_is_counted_and_dropped_and_answered_by_nobody(self):
+        async def play():
+            site = StreamSite(seed=4)
+            await site.start()
+            try:
+                caller = await site.add_caller()
+                for data in (b"", b"x" * 31, b"x" * 32, b"y" * 1_300, bytes(32)):
+                    for host in site.hosts.values():
+                        for port in (site.ports.callers, site.ports.peers, site.ports.answers):
+                            caller.port.send(data, (host.ip, port))
+                await asyncio.sleep(0.3)
+                outcome = await caller.flow(site.service_address(FEEDS)).ask(5.0)
+                counters = [app.counters for app in site.applications.values()]
+                return outcome, counters, [row.altered for row in site.upstreams.values()]
+            finally:
+                await site.close()
+
+        outcome, counters, altered = asyncio.run(play())
+        assert outcome is Outcome.SERVED
+        assert all(row.get("bad_peer_datagrams", 0) >= 5 for row in counters)
+        assert sum(row.get("faults", 0) for row in counters) == 0
+        assert sum(altered) == 0
