Split the agent of byte streams into layers; histograms by tenant and class; cold upstreams counted

Change: stream_owner, stream_admission, stream_search, stream_agent; Measure carried out into bounded histograms; OpeningBudget bound to the configured rate of cold upstreams (0 on the present sites: no limit); the lifetime of flows from the settings; each decision's log line says by which configuration, view and age it was made.

--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -125,15 +125,24 @@
         renewed = self.view.topology()
         if renewed is None:
             return []
+        before = self.epoch
         self.former, self.routed = self.routed, renewed
         self.changed_at = now
-        state = f"configuration {self.epoch}, revision {self.view.revision}"
-        summary = ",".join(f"{host.name}={host.state.value}" for host in renewed.document.hosts)
-        return [
-            Count("views_accepted"),
-            LogChange("view", state, summary),
-            *self.on_topology(now),
-        ]
+        effects: list[Effect] = [Count("views_accepted")]
+        if self.epoch != before:
+            effects.append(self.configuration_change())
+        hosts = ",".join(f"{host.name}={host.state.value}" for host in renewed.document.hosts)
+        effects.append(LogChange("view", f"revision {self.view.revision}", hosts))
+        return effects + self.on_topology(now)
+
+    def configuration_change(self) -> LogChange:
+        """Return the log entry of a configuration that has come into force."""
+        record = self.view.configuration
+        limits = ",".join(
+            f"{row.name}:cold {row.cold_s:g} s at {row.cold_rate:g}/s" for row in record.services
+        )
+        summary = f"{len(record.routes)} routes, idle {record.idle_s:g} s, {limits}"
+        return LogChange("configuration", f"version {record.version}", summary)
 
     def on_peer_message(self, event: PeerMessageArrived) -> list[Effect]:
         """Handle a control message."""
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -11,6 +11,7 @@
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
+    ServiceRecord,
     StoreItem,
     Subject,
 )
@@ -60,10 +61,12 @@
         self.unavailable_since: float | None = None
         self.available_since = -inf
         self.first_read_at = inf
+        self.updated_at = -inf
         self.vanished_at = -inf
 
     def note_available(self, now: float) -> bool:
         """Note that the store has answered; tell whether it had been unavailable."""
+        self.updated_at = now
         if self.unavailable_since is None:
             return False
         self.unavailable_since = None
@@ -177,6 +180,23 @@
                 found[record.address] = (name, record)
         return found
 
+    def limits_of(self, service: str) -> ServiceRecord | None:
+        """Return the limits of a service's upstreams, None for one that is not configured."""
+        if self.configuration is None:
+            return None
+        return next((row for row in self.configuration.services if row.name == service), None)
+
+    def is_cold(self, address: Address, now: float) -> bool:
+        """Tell whether the upstream at an address bears only little: it, or its domain, is new."""
+        found = self.current().get(address)
+        if found is None:
+            return True
+        name, record = found
+        limits = self.limits_of(record.service)
+        cold_s = limits.cold_s if limits else 0.0
+        returned_at = self.returned_at.get(record.failure_domain, -inf)
+        return now < max(self.cold_until.get(name, -inf), returned_at + cold_s)
+
     def topology(self) -> RoutedTopology | None:
         """Return the topology of the present items, None before the first configuration."""
         if self.configuration is None or self.table is None:
--- /dev/null
+++ b/src/heatheryoke/core/stream_admission.py
@@ -0,0 +1,220 @@
+"""The admission of new flows to the upstream of an agent: now, later, elsewhere, or not at all."""
+
+from math import inf
+from typing import Any
+
+from heatheryoke.core.cold_start import OpeningBudget
+from heatheryoke.core.effects import AnswerCaller, Count, Effect, LogFlow
+from heatheryoke.core.flows import FlowKey, PacketKind
+from heatheryoke.core.forwarder import NO_ADDRESS
+from heatheryoke.core.messages import HOP_LIMIT, Forward, Visit
+from heatheryoke.core.opening_queue import OpeningQueue, Waiting
+from heatheryoke.core.stream_owner import StreamOwner
+from heatheryoke.core.streams import OwnedStream
+from heatheryoke.inventory.checks import short_id
+from heatheryoke.inventory.model import Endpoint, Host, HostState, Service
+
+__all__ = ["StreamAdmission"]
+
+# Requests given beyond the slots, so that no slot idles while a new flow's first request is on its
+# way; one more and one less were measured, see docs/decisions/0007.
+AHEAD_OF_SLOTS = 2
+# What a request in progress weighs beside a flow that lasts, when one more such flow is placed.
+BUSY_WEIGHT = 0.5
+# What a flow that lasts weighs beside a request in progress, when a short flow is placed: the share
+# of time that such a flow keeps a slot busy, by its caller's pauses.
+FEED_WEIGHT = 0.05
+
+
+class StreamAdmission(StreamOwner):
+    """Gives its upstream new flows as far as it can begin them, and lets others wait or go on."""
+
+    def __init__(self, *arguments: Any, **options: Any):
+        super().__init__(*arguments, **options)
+        self.queue: OpeningQueue[Forward] = OpeningQueue()
+        self.budget = OpeningBudget()
+
+    def own(self, message: Forward, service: Service, generation: int, now: float) -> list[Effect]:
+        """Become the owner of a new flow, at once or when there is room; or pass it on."""
+        if message.flow in self.queue:
+            return [Count("openings_repeated")]
+        opens_feed = self.opens_feed(message, service)
+        if self.load(service.name, opens_feed, now) == inf:
+            return self.place_elsewhere(message, service, now)
+        if not self.has_room():
+            return self.hold(message, now)
+        return self.begin(message, service, now)
+
+    def has_room(self) -> bool:
+        """Tell whether the upstream can begin one more request now, or very soon."""
+        row = self.topology.endpoints.get((self.service, self.host_name))
+        return row is not None and len(self.in_progress) < row.slots + AHEAD_OF_SLOTS
+
+    def hold(self, message: Forward, now: float) -> list[Effect]:
+        """Let a new flow wait for room."""
+        route = self.topology.table.find(message.flow)
+        if route is None:
+            return [Count("dropped_no_route")]
+        row = Waiting(message, now, route.priority, route.aim_s)
+        slots = self.endpoint_of(self.service).slots
+        given_way = self.queue.add(message.flow, row, now, self.service_s(), slots)
+        service = self.topology.services[self.service]
+        refused = self.refuse_flow(given_way.packet, service, "gave way") if given_way else []
+        facts = (
+            ("waiting", len(self.queue)),
+            ("busy", len(self.in_progress)),
+            *self.beliefs(now),
+        )
+        return [*refused, Count("openings_held"), LogFlow(message.flow, "held", facts)]
+
+    def serve_queue(self, now: float) -> list[Effect]:
+        """Begin flows that wait, as far as there is room; give up those that waited too long."""
+        if not self.queue:
+            return []
+        effects: list[Effect] = []
+        service = self.topology.services.get(self.service)
+        for row in self.queue.expired(now):
+            effects += self.refuse_flow(row.packet, service, "waited too long")
+        if service is None or not self.can_take(now):
+            for row in self.queue.clear():
+                effects += self.place_elsewhere(row.packet, service, now)
+        while self.queue and self.has_room() and self.can_take(now):
+            row = self.queue.take(now, self.service_s())
+            effects += self.begin(row.packet, service, now, now - row.arrived)
+        return effects
+
+    def begin(
+        self, message: Forward, service: Service, now: float, waited_s: float = 0.0
+    ) -> list[Effect]:
+        """Become the owner of a new flow and deliver its first packet."""
+        opens_feed = self.opens_feed(message, service)
+        generation = message.generation
+        owned = OwnedStream(message.flow, service.name, generation, 0, now)
+        owned.via = message.via
+        owned.visited = message.visited
+        owned.feed = opens_feed
+        self.adopt(owned, now)
+        self.budget.spend(now)
+        self.start_request(owned, now)
+        facts = (
+            ("service", service.name),
+            ("waited_s", round(waited_s, 4)),
+            ("busy", len(self.in_progress)),
+            ("flows", len(self.flows)),
+            ("loads", [round(visit.load, 2) for visit in message.visited if visit.load < inf]),
+            *self.beliefs(now),
+        )
+        return [
+            Count("flows_placed"),
+            self.measured("wait_seconds", message.flow, waited_s),
+            self.measured("queue_at_arrival", message.flow, len(self.queue)),
+            LogFlow(message.flow, "placed", facts),
+            *self.deliver(owned, message, now),
+        ]
+
+    def place_elsewhere(
+        self, message: Forward, service: Service | None, now: float
+    ) -> list[Effect]:
+        """Give a new flow to another candidate, since this host does not take it."""
+        if service is None:
+            return self.refuse_flow(message, service, "no such service")
+        seen = tuple(visit for visit in message.visited if visit.host_id != self.own_id)
+        visited = (*seen, Visit(self.own_id, inf))
+        onward = message._replace(assigned=False, visited=visited)
+        view = self.topology.view(service.name)
+        candidates = [host for host in view.candidates(message.flow) if self.is_usable(host)]
+        following = self.placement.next_candidate(candidates, visited)
+        if following is not None:
+            self.directory.expect(message.flow, following.name, 0, False, now)
+            return self.pass_on(onward, following)
+        chosen = self.placement.choose(candidates, visited)
+        if chosen is None or chosen.name == self.host_name:
+            return self.refuse_flow(onward, service)
+        self.directory.expect(message.flow, chosen.name, 0, True, now)
+        return self.pass_on(onward._replace(assigned=True), chosen)
+
+    def on_opening_returned(
+        self, owned: OwnedStream | None, flow: FlowKey, payload: bytes, now: float
+    ) -> list[Effect]:
+        """Place a new flow elsewhere that the upstream has no room for."""
+        if owned is None or owned.accepted is not None:
+            return [Count("dropped_returned")]
+        service = self.topology.services.get(owned.service)
+        message = Forward(
+            flow,
+            short_id(owned.service),
+            PacketKind.OPENS,
+            HOP_LIMIT,
+            owned.via or NO_ADDRESS,
+            payload,
+            owned.visited,
+        )
+        effects = [Count("openings_returned"), *self.give_up(owned, now)]
+        facts = (("service", owned.service), ("busy", len(self.in_progress)), *self.beliefs(now))
+        effects.append(LogFlow(flow, "returned", facts))
+        return effects + self.place_elsewhere(message, service, now)
+
+    def endpoint_of(self, service: str) -> Endpoint | None:
+        """Return this host's upstream if it serves a service by the store and by settings."""
+        if service != self.service:
+            return None
+        row = self.topology.endpoints.get((service, self.host_name))
+        return row if row is not None and row.address == self.upstream else None
+
+    def can_take(self, now: float) -> bool:
+        """Tell whether the upstream may be given new flows, be there room or not."""
+        row = self.endpoint_of(self.service)
+        host = self.topology.hosts.get(self.host_name)
+        if row is None or host is None or host.state is not HostState.ACTIVE:
+            return False
+        if self.stopping_since is not None or len(self.flows) >= row.connections:
+            return False
+        return self.budget.allows(self.cold_rate(now), now)
+
+    def service_s(self) -> float:
+        """Return how long the upstream works on a request."""
+        return self.service_times.expected(self.topology.table.least_aim_s)
+
+    def load(self, service: str, opens_feed: bool, now: float) -> float:
+        """Return this host's load for placement, infinite where it takes no new flows."""
+        if service != self.service or not self.can_take(now):
+            return inf
+        slots = self.endpoint_of(service).slots
+        if not self.has_room() and not self.queue.can_add(now, self.service_s(), slots):
+            return inf
+        busy = len(self.in_progress) + len(self.queue) + self.offers.count(now)
+        if opens_feed:
+            return (self.feed_count + BUSY_WEIGHT * busy) / slots
+        return (busy + FEED_WEIGHT * self.feed_count) / slots
+
+    def cold_rate(self, now: float) -> float | None:
+        """Return how many flows a second the upstream may be given, None if it is warm."""
+        limits = self.view.limits_of(self.service)
+        if limits is None or limits.cold_rate <= 0 or not self.view.is_cold(self.upstream, now):
+            return None
+        return limits.cold_rate
+
+    def opens_feed(self, message: Forward, service: Service) -> bool:
+        """Tell whether a new flow is meant to last."""
+        route = self.topology.table.find(message.flow)
+        return route is not None and route.idempotent
+
+    def may_keep(self, service: str, candidates: list[Host], load: float, now: float) -> bool:
+        """Tell whether the first home may take a flow without asking others: never."""
+        return False
+
+    def refuse_flow(
+        self, message: Forward, service: Service | None, reason: str = "no room"
+    ) -> list[Effect]:
+        """Reset a flow that no upstream can take; the caller may come back at once."""
+        facts = (
+            ("reason", reason),
+            ("service", service.name if service else ""),
+            ("asked", len(message.visited)),
+            *self.beliefs(self.last_event),
+        )
+        return [
+            Count("flows_refused"),
+            LogFlow(message.flow, "refused", facts),
+            AnswerCaller(message.flow, self.codec.reset(message.flow, 0)),
+        ]
--- /dev/null
+++ b/src/heatheryoke/core/stream_owner.py
@@ -0,0 +1,207 @@
+"""The owner's part of an agent of byte streams: its upstream's flows and requests in progress."""
+
+from abc import abstractmethod
+from collections import OrderedDict
+from typing import Any
+
+from heatheryoke.core.effects import (
+    AnswerCaller,
+    Count,
+    Deliver,
+    Effect,
+    Measure,
+    SendPeer,
+)
+from heatheryoke.core.events import UpstreamPacket
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.home import Home
+from heatheryoke.core.messages import Forward, Hint
+from heatheryoke.core.ownership import OwnedFlow
+from heatheryoke.core.service_times import ServiceTimes
+from heatheryoke.core.store_node import StoreNode
+from heatheryoke.core.streams import OwnedStream, StreamCodec, StreamHead
+from heatheryoke.inventory.checks import short_id
+from heatheryoke.inventory.model import Address, Endpoint
+
+__all__ = ["StreamOwner"]
+
+# How long a closed flow is remembered: two of the longest retransmission intervals (1.6 s).
+CLOSING_S = 4.0
+# How long a new flow counts as a request although none has come: two retransmissions.
+OPENING_S = 0.5
+
+
+class StreamOwner(Home, StoreNode):
+    """Delivers packets to its upstream and learns from what the upstream sends."""
+
+    def __init__(
+        self,
+        host_name: str,
+        incarnation: int,
+        started: float,
+        codec: StreamCodec,
+        service: str,
+        upstream: Address,
+        flow_lifetime_s: float = 60.0,
+        **options: Any,
+    ):
+        super().__init__(host_name, incarnation, started, **options)
+        self.codec = codec
+        self.service = service
+        self.upstream = upstream
+        self.own_id = short_id(host_name)
+        self.started = started
+        self.flow_lifetime_s = flow_lifetime_s
+        self.feed_count = 0
+        self.in_progress: dict[FlowKey, OwnedStream] = {}
+        self.service_times = ServiceTimes()
+        self.ending: OrderedDict[FlowKey, OwnedStream] = OrderedDict()
+        self.offered: OrderedDict[FlowKey, Forward] = OrderedDict()
+        self.event_handlers[UpstreamPacket] = self.on_upstream_packet
+
+    @abstractmethod
+    def on_returned(self, event: UpstreamPacket, head: StreamHead) -> list[Effect]:
+        """Find another place for a packet that the upstream does not take."""
+
+    @abstractmethod
+    def serve_queue(self, now: float) -> list[Effect]:
+        """Begin flows that wait, as far as there is room."""
+
+    def take_packet(self, owned: OwnedFlow, message: Forward, now: float) -> list[Effect]:
+        """Learn from a caller's packet and hand it to the upstream."""
+        head = self.codec.read_head(message.payload)
+        if not head.opens and owned.accepted is not None and not owned.answered:
+            owned.answered = True
+            self.registrar.register(owned, self.topology)
+        if head.length and not owned.requested:
+            self.start_request(owned, now)
+            owned.requested = True
+        owned.caller_closed |= head.closes or head.resets
+        self.note_end(owned, head, now)
+        return [Deliver(owned.flow, message.payload)]
+
+    def on_upstream_packet(self, event: UpstreamPacket) -> list[Effect]:
+        """Pass an upstream's packet to the caller, or find the owner of one that it returned."""
+        head = self.codec.read_head(event.payload)
+        if head.returned:
+            return self.on_returned(event, head)
+        owned = self.flows.flows.get(event.flow)
+        effects: list[Effect] = []
+        if owned is None:
+            owned = self.adopt_found(event, head)
+        self.flows.touch(owned, event.now)
+        if head.accepts:
+            effects += self.on_accepted(owned, head, event.now)
+        elif head.length and owned.requested:
+            effects += self.on_answer(owned, event.now)
+        owned.upstream_closed |= head.closes or head.resets
+        self.note_end(owned, head, event.now)
+        return [*effects, AnswerCaller(event.flow, event.payload)]
+
+    def adopt_found(self, event: UpstreamPacket, head: StreamHead) -> OwnedStream:
+        """Take up a flow that the upstream holds although this process did not know it."""
+        offered = self.offered.pop(event.flow, None)
+        owned = OwnedStream(event.flow, self.service, 0, 0, event.now)
+        owned.answered = not head.accepts
+        owned.via = offered.via if offered else None
+        self.adopt(owned, event.now)
+        if self.topology is not None:
+            self.registrar.register(owned, self.topology)
+        return owned
+
+    def on_accepted(self, owned: OwnedStream, head: StreamHead, now: float) -> list[Effect]:
+        """Note that the upstream has accepted a flow; tell its homes and its balancer."""
+        if owned.accepted is not None:
+            return []
+        owned.accepted = head.sequence
+        effects: list[Effect] = [Count("flows_opened")]
+        if self.topology is not None:
+            self.registrar.register(owned, self.topology)
+            effects += self.registrar.flush(self.flows, self.topology, now)
+        if owned.via is not None and owned.via.port:
+            effects.append(SendPeer(owned.via, Hint(owned.flow, self.own_id)))
+        return effects
+
+    def start_request(self, owned: OwnedStream, now: float) -> None:
+        """Note that a request is in progress; a new flow counts as one until its first comes."""
+        if owned.flow not in self.in_progress:
+            self.in_progress[owned.flow] = owned
+        row = self.topology.endpoints.get((self.service, self.host_name))
+        owned.waiting_since = now
+        owned.found_slot = row is not None and len(self.in_progress) <= row.slots
+
+    def end_request(self, owned: OwnedStream) -> None:
+        """Note that no request of a flow is in progress."""
+        self.in_progress.pop(owned.flow, None)
+        owned.requested = False
+
+    def on_answer(self, owned: OwnedStream, now: float) -> list[Effect]:
+        """Note that the request in progress is being answered; begin what waits."""
+        took_s = now - owned.waiting_since
+        if owned.found_slot:
+            self.service_times.add(took_s)
+        self.end_request(owned)
+        return [self.measured("service_seconds", owned.flow, took_s), *self.serve_queue(now)]
+
+    def measured(self, name: str, flow: FlowKey, value: float) -> Measure:
+        """Return a value for the histogram of a flow's service and route."""
+        route = self.topology.table.find(flow) if self.topology else None
+        return Measure(name, self.service, route.name if route else "", value)
+
+    def beliefs(self, now: float) -> tuple[tuple[str, Any], ...]:
+        """Return what a decision was made by: the configuration, and the age of the view."""
+        age_s = round(now - self.view.updated_at, 3)
+        return ("configuration", self.epoch), ("view", self.view.revision), ("view_age_s", age_s)
+
+    def bind_flow(self, owned: OwnedFlow, endpoint: Endpoint) -> list[Effect]:
+        """Do nothing: the upstream knows flows by their packets."""
+        return []
+
+    def spare_flow(self, service: str, now: float) -> OwnedFlow | None:
+        """Return None: a stream is never cut to make room."""
+        return None
+
+    def note_end(self, owned: OwnedStream, head: StreamHead, now: float) -> None:
+        """Plan to forget a flow that both ends have closed, or one has reset."""
+        over = head.resets or (owned.caller_closed and owned.upstream_closed)
+        if over and owned.ending_at is None:
+            owned.ending_at = now + CLOSING_S
+            self.ending[owned.flow] = owned
+            self.end_request(owned)
+
+    def adopt(self, owned: OwnedFlow, now: float) -> None:
+        """Enter a flow into the tables."""
+        self.flows.add(owned)
+        self.forget_entry(owned.flow)
+        self.feed_count += owned.feed
+
+    def forget_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
+        """Forget the request in progress of a flow that is over."""
+        self.end_request(owned)
+        self.ending.pop(owned.flow, None)
+        self.feed_count -= owned.feed
+        return []
+
+    def leave_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
+        """Forget a flow that another host owns."""
+        return self.forget_flow(owned, now)
+
+    def idle_s(self, service: str) -> float:
+        """Return for how long a silent flow is kept."""
+        return min(self.view.configuration.idle_s, self.flow_lifetime_s) + CLOSING_S
+
+    def expire_ending(self, now: float) -> list[Effect]:
+        """Forget flows that ended a while ago."""
+        effects: list[Effect] = []
+        while self.ending:
+            owned = next(iter(self.ending.values()))
+            if owned.ending_at > now:
+                break
+            effects += self.give_up(owned, now)
+        return effects
+
+    def expire_openings(self, now: float) -> None:
+        """Stop counting new flows whose first request does not come."""
+        for owned in list(self.in_progress.values()):
+            if not owned.requested and now - owned.waiting_since > OPENING_S:
+                self.end_request(owned)
--- /dev/null
+++ b/src/heatheryoke/core/stream_search.py
@@ -0,0 +1,165 @@
+"""The search for the owner of a flow that an agent does not know.
+
+The upstream is the truth: it returns each packet of a flow that it does not hold. So an agent that
+has restarted knows nothing and loses nothing; it asks its upstream with the packet itself.
+"""
+
+from typing import Any
+
+from heatheryoke.core.effects import AnswerCaller, Count, Deliver, Effect, LogFlow, SendForward
+from heatheryoke.core.events import PeerMessageArrived, UpstreamPacket
+from heatheryoke.core.flows import FlowKey, PacketKind
+from heatheryoke.core.forwarder import NO_ADDRESS
+from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest, Visit
+from heatheryoke.core.stream_admission import StreamAdmission
+from heatheryoke.core.streams import StreamHead
+from heatheryoke.inventory.checks import short_id
+from heatheryoke.inventory.model import Host
+
+__all__ = ["StreamSearch"]
+
+# Flows whose packets the upstream has been asked about; beyond it the oldest question is dropped.
+MAXIMUM_OFFERED = 2_000
+# Hosts asked for one packet: at about 1 ms each, well within the first retransmission (200 ms).
+MAXIMUM_ASKED = 30
+# Hosts remembered that have asked for their flows: the fleet's size to design for.
+MAXIMUM_HEARD_OF = 11_000
+# Hosts that started within this time of each other have lost power together.
+TOGETHER_S = 8.0
+
+
+class StreamSearch(StreamAdmission):
+    """Passes an unknown flow's packets on until its owner gets them, or it is surely lost."""
+
+    def __init__(self, *arguments: Any, first_start: bool = False, **options: Any):
+        super().__init__(*arguments, **options)
+        self.first_start = first_start
+        self.unsure_until = self.started + (0.0 if first_start else self.flow_lifetime_s)
+        self.heard_of: set[str] = set()
+        self.message_handlers[RecoveryRequest] = self.on_recovery_request
+
+    def seek(self, message: Forward, now: float) -> list[Effect]:
+        """Pass on a packet of a flow that is not known here, until its owner gets it."""
+        flow = message.flow
+        tried = {visit.host_id for visit in message.visited}
+        entry = self.directory.find(flow, now)
+        if entry is not None and entry.registration.owner != self.host_name:
+            owner = self.topology.hosts.get(entry.registration.owner)
+            if owner is not None and short_id(owner.name) not in tried:
+                return self.pass_on(message, owner)
+        if now < self.unsure_until and self.own_id not in tried:
+            return self.offer(message)
+        if self.own_id not in tried:
+            message = self.with_visit(message, now)
+            tried.add(self.own_id)
+        following = self.next_to_ask(flow, tried, now)
+        if following is not None:
+            return [SendForward(following.address, message)]
+        if self.may_call_lost(message, now):
+            return self.reset_lost(message, "no upstream holds the flow")
+        return [Count("dropped_no_owner")]
+
+    def next_to_ask(self, flow: FlowKey, tried: set[int], now: float) -> Host | None:
+        """Return the next host that may know a flow: homes, former homes, then all by rank.
+
+        Each host is asked once, and no more than `MAXIMUM_ASKED` are.
+        """
+        if len(tried) >= MAXIMUM_ASKED:
+            return None
+        former = self.former_homes("", flow, now, self.flow_lifetime_s)
+        service = self.topology.service_of(flow)
+        peers = self.topology.view(service.name).ranked(flow) if service else []
+        everyone = self.topology.document.hosts
+        for host in (*self.topology.homes(flow), *former, *peers, *everyone):
+            if short_id(host.name) not in tried and host.name in self.topology.hosts:
+                return host
+        return None
+
+    def offer(self, message: Forward) -> list[Effect]:
+        """Ask the upstream with the packet itself; it returns the packet if the flow is not its."""
+        self.offered[message.flow] = message
+        self.offered.move_to_end(message.flow)
+        if len(self.offered) > MAXIMUM_OFFERED:
+            self.offered.popitem(last=False)
+        return [Count("packets_offered"), Deliver(message.flow, message.payload)]
+
+    def with_visit(self, message: Forward, now: float) -> Forward:
+        """Note in a packet that this host does not hold its flow, and for how long it has run."""
+        visit = Visit(self.own_id, now - self.started)
+        return message._replace(visited=(*message.visited, visit))
+
+    def on_returned(self, event: UpstreamPacket, head: StreamHead) -> list[Effect]:
+        """Find another place for a packet that the upstream does not take."""
+        now, flow = event.now, event.flow
+        payload = self.codec.cleared(event.payload)
+        owned = self.flows.flows.get(flow)
+        if self.topology is None:
+            return [Count("dropped_no_view")]
+        if head.opens:
+            return self.on_opening_returned(owned, flow, payload, now)
+        if owned is not None and owned.answered:
+            message = Forward(flow, 0, PacketKind.BELONGS, HOP_LIMIT, NO_ADDRESS, payload)
+            lost = self.reset_lost(message, "its upstream does not hold the flow")
+            return [*lost, *self.give_up(owned, now)]
+        gone = self.give_up(owned, now) if owned is not None else []
+        message = self.offered.pop(flow, None)
+        if message is None:
+            service = self.topology.service_of(flow)
+            if service is None:
+                return [*gone, Count("dropped_returned")]
+            message = Forward(
+                flow, short_id(service.name), PacketKind.BELONGS, HOP_LIMIT, NO_ADDRESS, payload
+            )
+        onward = self.with_visit(message._replace(payload=payload), now)
+        return [*gone, Count("packets_returned"), *self.seek(onward, now)]
+
+    def may_call_lost(self, message: Forward, now: float) -> bool:
+        """Tell whether a flow is lost that none of the hosts asked knows.
+
+        That is so if all were asked and no upstream can be missing in the view; or if all of them
+        have started lately and together, and none was heard of that the view lacks: then the
+        upstreams lost power too, or one of them would have kept the packet.
+        """
+        if len(message.visited) < len(self.topology.hosts):
+            return False
+        if self.view.is_settled(now):
+            return True
+        oldest = max(visit.load for visit in message.visited)
+        unknown = [name for name in self.heard_of if name not in self.topology.hosts]
+        return oldest < TOGETHER_S and not unknown
+
+    def reset_lost(self, message: Forward, reason: str) -> list[Effect]:
+        """Reset an open flow that its upstream has lost, so that its caller comes back at once."""
+        head = self.codec.read_head(message.payload)
+        if head.resets:
+            return [Count("dropped_no_owner")]
+        facts = (
+            ("reason", reason),
+            ("asked", len(message.visited)),
+            *self.beliefs(self.last_event),
+        )
+        return [
+            Count("flows_lost"),
+            LogFlow(message.flow, "reset", facts),
+            AnswerCaller(message.flow, self.codec.reset(message.flow, head.acknowledged)),
+        ]
+
+    def former_homes(self, service: str, flow: FlowKey, now: float, within_s: float) -> list[Host]:
+        """Return a flow's homes before the last change of view, none if they have not moved."""
+        former = self.former_topology(now, within_s)
+        if former is None:
+            return []
+        before, present = former.homes(flow), self.topology.homes(flow)
+        moved = [host.name for host in before[:1]] != [host.name for host in present[:1]]
+        return before if moved else []
+
+    def on_recovery_request(self, event: PeerMessageArrived) -> list[Effect]:
+        """Register flows anew at a home that has restarted."""
+        restarted = event.message.host
+        if len(self.heard_of) < MAXIMUM_HEARD_OF:
+            self.heard_of.add(restarted)
+        for owned in self.flows.flows.values():
+            if restarted in owned.homes:
+                row = owned.registration(self.host_name)
+                self.registrar.outbox.setdefault(restarted, {})[owned.flow] = row
+        return self.registrar.flush(self.flows, self.topology, event.now)
--- a/src/heatheryoke/daemons/setting_values.py
+++ b/src/heatheryoke/daemons/setting_values.py
@@ -4,7 +4,8 @@
 
 from heatheryoke.inventory.model import Address
 
-__all__ = ["SettingProblem", "parse_address", "parse_name", "parse_ports", "parse_switch"]
+__all__ = ["SettingProblem", "parse_address", "parse_name", "parse_ports", "parse_seconds"]
+__all__ += ["parse_switch"]
 
 
 class SettingProblem(NamedTuple):
@@ -51,6 +52,14 @@
     return int(first), int(last)
 
 
+def parse_seconds(text: str) -> float:
+    """Return a positive number of seconds."""
+    number = float(text)
+    if not 0 < number < float("inf"):
+        raise ValueError("must be positive")
+    return number
+
+
 def parse_switch(text: str) -> bool:
     """Return whether the text is `true`; only `false` is the other."""
     if text not in ("true", "false"):
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -18,6 +18,7 @@
     DiscardQueued,
     LogChange,
     LogFlow,
+    Measure,
     SendForward,
     SendPeer,
     Stopped,
@@ -35,6 +36,7 @@
     UpstreamPacket,
 )
 from heatheryoke.core.flows import FlowKey, PacketKind, describe_flow, flow_tuple
+from heatheryoke.core.histograms import WAIT_BUCKETS_S, Histogram
 from heatheryoke.core.messages import Forward
 from heatheryoke.core.records import StoreItem
 from heatheryoke.core.store_node import StoreNode
@@ -57,6 +59,9 @@
 STREAM_TICK_S = 0.1
 METRICS_PATH = "/metrics"
 RECEIVE_BUFFER_BYTES = 1024 * 1024
+# Histograms kept at once, each of a name, service and route; routes without requests have none.
+MAXIMUM_HISTOGRAMS = 600
+QUEUE_BUCKETS = (0.0, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0)
 
 
 def steady_clock() -> float:
@@ -75,6 +80,7 @@
         self.log = log
         self.clock = steady_clock
         self.counters: dict[str, int] = {}
+        self.histograms: dict[tuple[str, str, str], Histogram] = {}
         self.codec = PacketCodec()
         self.peer_address = Address(settings.ip, settings.peer_ports[0])
         self.node = self.make_node()
@@ -98,6 +104,7 @@
             CloseFlow: lambda effect: None,
             DiscardQueued: self.discard_queued,
             Count: self.count,
+            Measure: self.measure,
             LogChange: self.log_change,
             LogFlow: self.log_flow,
             Stopped: self.note_stopped,
@@ -240,7 +247,9 @@
         """Return the metrics as text."""
         from heatheryoke.daemons.stream_metrics import exposition
 
-        return Reply(200, exposition(self.node, self.counters), "text/plain; version=0.0.4")
+        return Reply(
+            200, exposition(self.node, self.counters, self.histograms), "text/plain; version=0.0.4"
+        )
 
     # Effects out
 
@@ -261,6 +270,18 @@
         """Add to a counter by name."""
         self.counters[name] = self.counters.get(name, 0) + amount
 
+    def measure(self, effect: Measure) -> None:
+        """Add a value to the histogram of a service and route."""
+        key = effect[:3]
+        found = self.histograms.get(key)
+        if found is None:
+            if len(self.histograms) >= MAXIMUM_HISTOGRAMS:
+                self.add("histograms_left_out")
+                return
+            buckets = QUEUE_BUCKETS if effect.name == "queue_at_arrival" else WAIT_BUCKETS_S
+            found = self.histograms[key] = Histogram(buckets)
+        found.add(effect.value)
+
     def log_change(self, effect: LogChange) -> None:
         """Log a change of what the process believes."""
         self.log.write("change", subject=effect.subject, state=effect.state, reason=effect.reason)
@@ -336,6 +357,7 @@
             settings.service,
             settings.upstream,
             first_start=settings.first_start,
+            flow_lifetime_s=settings.flow_lifetime_s,
             peer_port=self.peer_address.port,
         )
 
--- a/src/heatheryoke/daemons/stream_metrics.py
+++ b/src/heatheryoke/daemons/stream_metrics.py
@@ -3,20 +3,36 @@
 from collections.abc import Iterator
 
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
 from prometheus_client.registry import Collector
 
+from heatheryoke.core.histograms import Histogram
 from heatheryoke.core.store_node import StoreNode
+from heatheryoke.core.stream_agent import StreamAgent
 
-__all__ = ["exposition"]
+__all__ = ["Histograms", "exposition"]
+
+Histograms = dict[tuple[str, str, str], Histogram]
+
+HELP = {
+    "wait_seconds": "Time from a new flow's arrival at its agent to its first packet's delivery.",
+    "service_seconds": "Time from a request's arrival at its agent to the first of its answer.",
+    "queue_at_arrival": "New flows that waited when one was begun.",
+}
 
 
 class NodeCollector(Collector):
-    """Reads a reducer and its counters."""
+    """Reads a reducer, its counters and its histograms."""
 
-    def __init__(self, node: StoreNode, counters: dict[str, int]):
+    def __init__(self, node: StoreNode, counters: dict[str, int], histograms: Histograms):
         self.node = node
         self.counters = counters
+        self.histograms = histograms
 
     def collect(self) -> Iterator[Metric]:
         """Return every metric."""
@@ -24,12 +40,33 @@
         for name, total in sorted(self.counters.items()):
             events.add_metric([name], total)
         yield events
-        epoch = self.node.epoch
-        yield GaugeMetricFamily("heatheryoke_epoch", "Configuration in force.", value=epoch)
+        yield from self.gauges()
+        for name, text in HELP.items():
+            family = HistogramMetricFamily(
+                f"heatheryoke_{name}", text, labels=["tenant", "request_class"]
+            )
+            for key, row in sorted(self.histograms.items()):
+                if key[0] == name:
+                    family.add_metric(list(key[1:]), row.cumulative(), row.total)
+            yield family
+
+    def gauges(self) -> Iterator[Metric]:
+        """Return what the reducer holds now."""
+        node = self.node
+        rows = [("epoch", "Configuration in force.", node.epoch)]
+        if isinstance(node, StreamAgent):
+            rows += [
+                ("flows_owned", "Flows owned.", len(node.flows)),
+                ("directory_entries", "Directory entries.", len(node.directory)),
+                ("requests_pending", "Requests in progress.", len(node.in_progress)),
+                ("flows_waiting", "New flows that wait for room.", len(node.queue)),
+            ]
+        for name, text, value in rows:
+            yield GaugeMetricFamily(f"heatheryoke_{name}", text, value=value)
 
 
-def exposition(node: StoreNode, counters: dict[str, int]) -> bytes:
+def exposition(node: StoreNode, counters: dict[str, int], histograms: Histograms) -> bytes:
     """Return the text that Prometheus reads."""
     registry = CollectorRegistry()
-    registry.register(NodeCollector(node, counters))
+    registry.register(NodeCollector(node, counters, histograms))
     return generate_latest(registry)
--- a/src/heatheryoke/daemons/stream_settings.py
+++ b/src/heatheryoke/daemons/stream_settings.py
@@ -10,6 +10,7 @@
     parse_address,
     parse_name,
     parse_ports,
+    parse_seconds,
     parse_switch,
 )
 from heatheryoke.inventory.model import Address, Role
@@ -34,6 +35,7 @@
     answers: Address | None
     upstream: Address | None
     service: str | None
+    flow_lifetime_s: float | None
 
 
 class StreamSetting(NamedTuple):
@@ -88,6 +90,14 @@
     StreamSetting(
         "service", "upstream", "service", parse_name, AGENT, "The service of the upstream."
     ),
+    StreamSetting(
+        "flow_lifetime_s",
+        "upstream",
+        "flow_lifetime_s",
+        parse_seconds,
+        AGENT,
+        "How long a flow keeps its upstream, at most (s).",
+    ),
 )
 
 
--- a/src/heatheryoke/standins/stream_store.py
+++ b/src/heatheryoke/standins/stream_store.py
@@ -35,9 +35,11 @@
         app = web.Application()
         app.router.add_get("/v1/kv-range", self.on_range)
         app.router.add_get("/v1/kv-watch", self.on_watch)
-        self.runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        self.runner = web.AppRunner(
+            app, access_log=None, handle_signals=False, shutdown_timeout=0.2
+        )
         await self.runner.setup()
-        await web.TCPSite(self.runner, address.ip, address.port, shutdown_timeout=0.2).start()
+        await web.TCPSite(self.runner, address.ip, address.port).start()
 
     async def close(self) -> None:
         """Stop listening."""
--- a/tests/test_stream_site.py
+++ b/tests/test_stream_site.py
@@ -71,3 +71,25 @@
         assert all(row.get("bad_peer_datagrams", 0) >= 5 for row in counters)
         assert sum(row.get("faults", 0) for row in counters) == 0
         assert sum(altered) == 0
+
+
+class TestMetrics:
+    def test_have_histograms_by_tenant_and_class(self):
+        async def play():
+            site = StreamSite(seed=5)
+            await site.start()
+            try:
+                flow = (await site.add_caller()).flow(site.service_address(FEEDS))
+                outcome = await flow.ask(5.0)
+                await asyncio.sleep(0.1)
+                return outcome, [
+                    app.on_metrics().body.decode() for app in site.applications.values()
+                ]
+            finally:
+                await site.close()
+
+        outcome, pages = asyncio.run(play())
+        assert outcome is Outcome.SERVED
+        labels = '{request_class="r-feeds",tenant="feeds"}'
+        for name in ("wait_seconds", "service_seconds", "queue_at_arrival"):
+            assert any(f"heatheryoke_{name}_count{labels} 1.0" in page for page in pages), name
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -376,6 +376,7 @@
             BALANCER,
             BALANCER,
             "live",
+            60.0,
         )
         application = StreamAgentApplication(settings, Path("settings"), JsonLog("a"))
         used = {kind for kind in Effect.__args__ if re.search(rf"\b{kind.__name__}\(", source)}
@@ -423,6 +424,37 @@
         assert of_kind(agent.reduce(forward(flow, packet(flow, SYN))), SendForward)
 
 
+class TestColdUpstream:
+    """Load pattern: a new upstream is the least loaded of all, so every new flow goes there."""
+
+    def limited(self, **changes):
+        record = configuration().record
+        services = (ServiceRecord("live", 2_000, 2.0, 4.0),)
+        cold = configuration()._replace(record=record._replace(services=services))
+        return make_agent(items=(cold, endpoint(1, **changes), *ITEMS[2:]))
+
+    def given(self, agent, now, attempts=20):
+        flows = [flow_of(port) for port in range(int(now * 100), int(now * 100) + attempts)]
+        events = [forward(flow, packet(flow, SYN), assigned=True, now=now) for flow in flows]
+        return sum(len(of_kind(agent.reduce(event), Deliver)) for event in events)
+
+    def test_gets_no_more_than_it_bears_in_any_second(self):
+        agent = self.limited(cold_s=2.0)
+        assert self.given(agent, NOW + 0.1) <= 4
+        assert self.given(agent, NOW + 1.0) == 0
+
+    def test_a_returned_domain_is_cold(self):
+        agent = self.limited()
+        agent.reduce(StoreChanged(NOW, (withdrawal("south", 95),)))
+        agent.reduce(StoreChanged(NOW + 1, (withdrawal("south", 96, present=False),)))
+        assert self.given(agent, NOW + 1.5) <= 4
+
+    def test_a_warm_one_has_no_such_limit(self):
+        agent = self.limited()
+        slots = agent.endpoint_of("live").slots
+        assert self.given(agent, NOW + 0.1) == slots + 2
+
+
 class TestView:
     def test_a_heartbeat_changes_no_topology(self):
         agent = make_agent()
