Place what another agent passed on; wait in haste for the own upstream's entry

Ruled out: upstreams registered before their agents run; the log shows the agent first, its view later. Change: an agent places what comes from another agent; one whose view lacks its upstream passes on to the next candidate, and reads the store each 0.3 s until it is there.

--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -75,6 +75,10 @@
         """Tell whether callers' packets should come here."""
         return self.routed is not None and self.stopping_since is None
 
+    def is_hurried(self) -> bool:
+        """Tell whether the store should be read more often than usual."""
+        return False
+
     def is_usable(self, host: Host) -> bool:
         """Tell whether a host may be sent callers' packets."""
         return host.name in self.routed.hosts
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -5,9 +5,10 @@
 from heatheryoke.core.directory import Directory
 from heatheryoke.core.effects import Count, Effect, SendPeer
 from heatheryoke.core.events import ForwardArrived
-from heatheryoke.core.messages import RecoveryRequest
+from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest
 from heatheryoke.core.stream_search import StreamSearch
 from heatheryoke.inventory.checks import short_id
+from heatheryoke.inventory.model import Service
 
 __all__ = ["StreamAgent"]
 
@@ -46,19 +47,33 @@
         return effects + self.seek(message, now)
 
     def on_opening(self, event: ForwardArrived) -> list[Effect]:
-        """Place a new flow, by the newer of the sender's configuration and this process's."""
+        """Place a new flow, by the newer of the sender's configuration and this process's.
+
+        What another agent has passed on is placed here: their views of the homes may differ.
+        """
         message = event.message
         service = self.topology.service_of(message.flow)
         if event.epoch > self.epoch:
             service = self.topology.service_ids.get(message.service_id)
         if service is None:
             return [Count("dropped_wrong_service")]
-        message = message._replace(service_id=short_id(service.name))
+        passed_on = message.hops < HOP_LIMIT
+        message = message._replace(service_id=short_id(service.name), deputed=passed_on)
         if self.host_name not in self.topology.hosts:
-            homes = self.topology.homes(message.flow)
-            return self.pass_on(message, homes[0]) if homes else [Count("dropped_no_host")]
+            return self.pass_stranger_on(message, service, event.now)
         return self.route(message, service, event.now)
 
+    def pass_stranger_on(self, message: Forward, service: Service, now: float) -> list[Effect]:
+        """Pass a new flow on while this process's view lacks its own upstream."""
+        if message.visited or message.assigned:
+            return self.place_elsewhere(message, service, now)
+        homes = self.topology.homes(message.flow)
+        return self.pass_on(message, homes[0]) if homes else [Count("dropped_no_host")]
+
+    def is_hurried(self) -> bool:
+        """Tell whether this process's view lacks its own upstream."""
+        return self.topology is not None and self.host_name not in self.topology.hosts
+
     def has_recovered_flows(self, now: float) -> bool:
         """Return True: a flow placed twice does no harm, its caller goes with one acceptance."""
         return True
--- a/src/heatheryoke/daemons/store_watch.py
+++ b/src/heatheryoke/daemons/store_watch.py
@@ -11,7 +11,10 @@
 __all__ = ["StoreWatch"]
 
 ALL_KEYS = ""
+# Half of the tightest bound by which a change must be in force (configMs and drainMs, 3 s).
 PACE_S = 1.5
+# While a process waits for the entry of its own upstream, which gets no flow before.
+HURRIED_PACE_S = 0.3
 WAIT_S = 3.0
 TIMEOUT_S = 1.0
 WATCH_MARGIN_S = 0.6
@@ -28,6 +31,7 @@
         change: Callable[[tuple[StoreItem, ...]], None],
         unavailable: Callable[[str], None],
         unreadable: Callable[[UnreadableItemError], None],
+        is_hurried: Callable[[], bool],
     ):
         self.client = client
         self.backoff = backoff
@@ -35,6 +39,7 @@
         self.change = change
         self.unavailable = unavailable
         self.unreadable = unreadable
+        self.is_hurried = is_hurried
         self.revision: int | None = None
 
     async def run(self) -> None:
@@ -45,7 +50,8 @@
             try:
                 await self.step()
                 self.backoff.succeed()
-                await asyncio.sleep(max(0.0, began + PACE_S - loop.time()))
+                pace_s = HURRIED_PACE_S if self.is_hurried() else PACE_S
+                await asyncio.sleep(max(0.0, began + pace_s - loop.time()))
             except HistoryGoneError:
                 self.revision = None
             except StoreUnavailableError as error:
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -93,6 +93,7 @@
             self.on_items_changed,
             self.on_store_unavailable,
             self.on_unreadable,
+            self.node.is_hurried,
         )
         self.watching: asyncio.Task[None] | None = None
         self.ticker: asyncio.TimerHandle | None = None
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -256,6 +256,31 @@
         assert of_kind(node.reduce(CallerPacket(NOW, flow, 0, packet(flow, ACK))), SendForward)
 
 
+class TestHomes:
+    """Load pattern: an upstream joins, and for a while some processes know it and some do not."""
+
+    def away_flow(self, agent):
+        ports = range(1, 200)
+        return next(
+            flow_of(port)
+            for port in ports
+            if agent.host_name not in [h.name for h in agent.topology.homes(flow_of(port))]
+        )
+
+    def test_a_balancers_first_packet_is_passed_to_the_home(self):
+        agent = make_agent()
+        flow = self.away_flow(agent)
+        (sent,) = of_kind(agent.reduce(forward(flow, packet(flow, SYN))), SendForward)
+        assert sent.to == agent.topology.homes(flow)[0].address and not sent.message.visited
+
+    def test_one_that_another_agent_passed_on_is_placed_here_whoever_is_home(self):
+        agent = make_agent()
+        flow = self.away_flow(agent)
+        event = forward(flow, packet(flow, SYN), hops=HOP_LIMIT - 1)
+        (sent,) = of_kind(agent.reduce(event), SendForward)
+        assert [visit.host_id for visit in sent.message.visited] == [short_id("10.1.0.1")]
+
+
 class TestOwner:
     def test_an_acceptance_is_registered_at_both_homes_and_hinted(self):
         agent, flow = make_agent(), flow_of(1)
@@ -419,9 +444,17 @@
         agent.reduce(StoreChanged(NOW, (withdrawal("south", 95),)))
         assert of_kind(agent.reduce(forward(flow, packet(flow, ACK, 2, 501))), Deliver)
 
-    def test_an_agent_whose_upstream_the_store_lacks_passes_first_packets_on(self):
+    def test_an_agent_whose_upstream_its_view_lacks_passes_first_packets_on(self):
+        agent, flow = make_agent(items=ITEMS[:1] + ITEMS[2:]), flow_of(1)
+        (sent,) = of_kind(agent.reduce(forward(flow, packet(flow, SYN))), SendForward)
+        assert sent.to == agent.topology.homes(flow)[0].address
+
+    def test_or_on_to_the_next_candidate_if_it_was_asked_as_one(self):
         agent, flow = make_agent(items=ITEMS[:1] + ITEMS[2:]), flow_of(1)
-        assert of_kind(agent.reduce(forward(flow, packet(flow, SYN))), SendForward)
+        visits = (Visit(short_id("10.1.0.2"), 1.0),)
+        event = forward(flow, packet(flow, SYN), visited=visits, hops=HOP_LIMIT - 1)
+        (sent,) = of_kind(agent.reduce(event), SendForward)
+        assert sent.message.visited == (*visits, Visit(short_id("10.1.0.1"), inf))
 
 
 class TestColdUpstream:
