Count the age that a first packet's copy tells

Cause: after an outage most first packets come as copies, sent 0.2 and 0.6 s after the caller began; the queue took them for new ones. Change: StreamHead.age_s; the queue orders by when the caller began.

--- a/src/heatheryoke/core/opening_queue.py
+++ b/src/heatheryoke/core/opening_queue.py
@@ -20,10 +20,10 @@
 
 
 class Waiting(NamedTuple, Generic[Packet]):
-    """One flow that waits; `priority` 0 is the most urgent."""
+    """One flow that waits, whose caller began at `began`; `priority` 0 is the most urgent."""
 
     packet: Packet
-    arrived: float
+    began: float
     priority: int
     aim_s: float
 
@@ -77,15 +77,15 @@
 
     def is_late(self, row: Waiting[Packet], now: float, service_s: float) -> bool:
         """Tell whether a flow begun now would miss its aim."""
-        return now + service_s > row.arrived + row.aim_s
+        return now + service_s > row.began + row.aim_s
 
     def rank(self, row: Waiting[Packet], now: float, service_s: float) -> tuple[bool, int, float]:
         """Return what orders a flow: in time, then urgent, then the one with the least time."""
-        return self.is_late(row, now, service_s), row.priority, row.arrived + row.aim_s
+        return self.is_late(row, now, service_s), row.priority, row.began + row.aim_s
 
     def expired(self, now: float) -> list[Waiting[Packet]]:
         """Remove and return the flows that have waited too long."""
-        late = [key for key, row in self.waiting.items() if now - row.arrived > LONGEST_WAIT_S]
+        late = [key for key, row in self.waiting.items() if now - row.began > LONGEST_WAIT_S]
         return [self.waiting.pop(key) for key in late]
 
     def clear(self) -> list[Waiting[Packet]]:
--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -55,7 +55,8 @@
         route = self.topology.table.find(message.flow)
         if route is None:
             return [Count("dropped_no_route")]
-        row = Waiting(message, now, route.priority, route.aim_s)
+        began = now - self.codec.read_head(message.payload).age_s
+        row = Waiting(message, began, route.priority, route.aim_s)
         slots = self.endpoint_of(self.service).slots
         given_way = self.queue.add(message.flow, row, now, self.service_s(), slots)
         service = self.topology.services[self.service]
@@ -80,7 +81,7 @@
                 effects += self.place_elsewhere(row.packet, service, now)
         while self.queue and self.has_room() and self.can_take(now):
             row = self.queue.take(now, self.service_s())
-            effects += self.begin(row.packet, service, now, now - row.arrived)
+            effects += self.begin(row.packet, service, now, now - row.began)
         return effects
 
     def begin(
--- a/src/heatheryoke/core/streams.py
+++ b/src/heatheryoke/core/streams.py
@@ -20,8 +20,9 @@
 class StreamHead(NamedTuple):
     """What the head of one packet says.
 
-    `opens` marks the first packet of a flow, whose `acknowledged` counts its copies; `accepts` the
-    upstream's answer to it; `returned` a packet that the upstream did not take.
+    `opens` marks the first packet of a flow, whose `acknowledged` counts its copies and whose
+    caller began `age_s` ago; `accepts` the upstream's answer to it; `returned` a packet that the
+    upstream did not take.
     """
 
     opens: bool
@@ -32,6 +33,7 @@
     sequence: int
     acknowledged: int
     length: int
+    age_s: float = 0.0
 
     @property
     def kind(self) -> PacketKind:
--- a/src/heatheryoke/platform/packets.py
+++ b/src/heatheryoke/platform/packets.py
@@ -13,6 +13,8 @@
 MAXIMUM_DATA = 1_200
 SYN, ACK, FIN, RST, BOUNCED = 128, 1, 32, 64, 2
 KNOWN_FLAGS = SYN | ACK | FIN | RST | BOUNCED
+# When a caller sends the copies of a SYN, after the first; `ack` counts them.
+COPY_AGES_S = (0.0, 0.2, 0.6)
 FLAGS_AT, ECHO_AT, ECHO_BYTES, PAD_AT = 20, 16, 4, 21
 
 
@@ -77,8 +79,10 @@
         head = PacketHead(*HEAD.unpack_from(packet))
         flags = head.flags
         syn = flags & SYN
+        opens = bool(syn and not flags & ACK)
+        copy = min(head.acknowledged, len(COPY_AGES_S) - 1) if opens else 0
         return StreamHead(
-            bool(syn and not flags & ACK),
+            opens,
             bool(syn and flags & ACK),
             bool(flags & FIN),
             bool(flags & RST),
@@ -86,6 +90,7 @@
             head.sequence,
             head.acknowledged,
             head.length,
+            COPY_AGES_S[copy],
         )
 
     def reset(self, flow: FlowKey, sequence: int) -> bytes:
--- a/tests/test_opening_queue.py
+++ b/tests/test_opening_queue.py
@@ -39,7 +39,7 @@
             queue.expired(now)
             row = queue.take(now, SERVICE_S)
             if row is not None:
-                begun.append((now, now + SERVICE_S - row.arrived))
+                begun.append((now, now + SERVICE_S - row.began))
                 free_at = now + SERVICE_S / SLOTS
         return begun, refused
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -169,6 +169,10 @@
         expected = "00000000bb01010012c6419c07004064000000004000" + "00" * 10
         assert CODEC.reset(flow_of(40_001), 0).hex() == expected
 
+    def test_a_copy_of_a_first_packet_tells_how_long_its_caller_waits(self):
+        heads = [CODEC.read_head(packet(flow_of(1), SYN, acknowledged=n)) for n in range(4)]
+        assert [head.age_s for head in heads] == [0.0, 0.2, 0.6, 0.6]
+
     def test_clears_only_the_marks_of_the_way(self):
         flow = flow_of(1)
         sent = packet(flow, ACK, 5, 6, b"data")
