--- a/src/heatheryoke/cli.py
+++ b/src/heatheryoke/cli.py
@@ -24,6 +24,7 @@
 from heatheryoke.daemons.application import AgentApplication, Application, BalancerApplication
 from heatheryoke.daemons.settings import LogFormat, Settings, parse_address, read_settings
 from heatheryoke.daemons.status import FlowExplanation, Status
+from heatheryoke.daemons.stream_settings import read_stream_settings
 from heatheryoke.inventory.checks import check_document
 from heatheryoke.inventory.document import Role, decode_document
 from heatheryoke.inventory.importer import import_inventory
@@ -95,9 +96,15 @@
 def check(
     settings: SettingsPath,
     role: Annotated[RoleName, typer.Option(help="The role that the file is for.")],
+    streams: Annotated[bool, typer.Option(help="Settings of byte streams.")] = False,
 ) -> None:
     """Check a settings file and open nothing. Example: heatheryoke check a.ini --role agent."""
-    _load_settings(settings, Role(role.value))
+    if streams:
+        problems = read_stream_settings(settings, Role(role.value))[1]
+        if problems:
+            _fail_unusable(problems)
+    else:
+        _load_settings(settings, Role(role.value))
     console.print(f"{settings}: valid")
 
 
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -57,6 +57,8 @@
 __all__ = ["STREAM_APPLICATIONS", "StreamApplication", "run_role"]
 
 STREAM_TICK_S = 0.1
+# How often the settings file is looked at, which may change without a signal.
+SETTINGS_CHECK_S = 1.0
 METRICS_PATH = "/metrics"
 RECEIVE_BUFFER_BYTES = 1024 * 1024
 # Histograms kept at once, each of a name, service and route; routes without requests have none.
@@ -98,6 +100,8 @@
         self.watching: asyncio.Task[None] | None = None
         self.ticker: asyncio.TimerHandle | None = None
         self.stopped = asyncio.Event()
+        self.settings_stamp = self.stamp_settings()
+        self.next_settings_check = self.clock() + SETTINGS_CHECK_S
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
             SendForward: self.send,
             SendPeer: self.send,
@@ -183,6 +187,23 @@
     def use_settings(self, settings: StreamSettings) -> None:
         """Tell the reducer what the settings say now."""
 
+    def stamp_settings(self) -> int | None:
+        """Return when the settings file was last written, None if it cannot be told."""
+        try:
+            return self.path.stat().st_mtime_ns
+        except OSError:
+            return None
+
+    def check_settings(self) -> None:
+        """Read the settings again if their file has changed."""
+        if self.clock() < self.next_settings_check:
+            return
+        self.next_settings_check = self.clock() + SETTINGS_CHECK_S
+        stamp = self.stamp_settings()
+        if stamp is not None and stamp != self.settings_stamp:
+            self.settings_stamp = stamp
+            self.reload()
+
     # Events in
 
     def step(self, event: Event) -> None:
@@ -199,6 +220,7 @@
         """Send a tick and plan the next."""
         self.ticker = asyncio.get_running_loop().call_later(STREAM_TICK_S, self.tick)
         self.step(Tick(self.clock()))
+        self.check_settings()
 
     def on_items_read(self, items: tuple[StoreItem, ...]) -> None:
         """Take a whole reading of the store."""
--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import json
+from math import isfinite
 from typing import Any
 
 from heatheryoke.core.records import (
@@ -23,6 +24,7 @@
 STATES = {"ready": False, "draining": True}
 IDEMPOTENT_KINDS = {"idempotent", "download"}
 LONGEST_REASON = 200
+UNREADABLE = (LookupError, TypeError, ValueError, AttributeError, RecursionError, binascii.Error)
 KINDS = IDEMPOTENT_KINDS | {"non_idempotent"}
 
 
@@ -58,14 +60,14 @@
     try:
         value = json.loads(base64.b64decode(raw["value"], validate=True))
         return read(value), None
-    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
+    except UNREADABLE as error:
         return None, UnreadableItemError(
             f"{raw['key']!r} revision {raw['revision']}: {error!r}"[:200]
         )
 
 
 def _number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
         raise UnreadableItemError(f"{value!r} is not a number")
     return value
 
--- /dev/null
+++ b/tests/test_platform_items.py
@@ -0,0 +1,136 @@
+"""Items of the platform's store: the published examples, and entries of other writers."""
+
+import base64
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heatheryoke.core.records import Subject
+from heatheryoke.inventory.model import Address
+from heatheryoke.platform.items import UnreadableItemError, read_item
+
+ENDPOINT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "kol-north",
+    "version": "v1",
+    "concurrency": 4,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "sequence": 4,
+    "born": 1774272840070,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-a3hwrr6",
+            "host": "198.18.0.1",
+            "prefix": "/8443/",
+            "kind": "idempotent",
+            "timeoutMs": 2000,
+            "targetLatencyMs": 218,
+            "priority": 2,
+            "backends": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+            "maxAttempts": 2,
+        },
+        {
+            "name": "r-x73d3zj",
+            "host": "198.18.0.1",
+            "prefix": "/8080/",
+            "kind": "non_idempotent",
+            "timeoutMs": 2500,
+            "targetLatencyMs": 273,
+            "priority": 1,
+            "service": "huvo11a",
+            "maxAttempts": 2,
+        },
+    ],
+    "services": [{"name": "huvo11a", "maxConns": 2000, "warmupS": 2.0, "warmupPerS": 0.0}],
+    "limits": {"idleTimeoutMs": 15000},
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=8,
+)
+
+
+def item(key, value, revision=412):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return {"key": key, "value": base64.b64encode(data).decode(), "revision": revision}
+
+
+class TestExamples:
+    def test_an_upstream(self):
+        found, problem = read_item(item("servers/i-7f3a91c2", ENDPOINT))
+        assert problem is None and found.subject is Subject.ENDPOINT
+        record = found.record
+        assert record.address == Address("10.128.0.9", 8080)
+        assert (record.slots, record.cold_s, record.is_draining) == (4, 1.5, False)
+        assert record.born_ms == 1774272840070
+
+    def test_a_configuration(self):
+        found, problem = read_item(item("op/config", CONFIGURATION))
+        assert problem is None
+        split, single = found.record.routes
+        assert [tuple(share) for share in split.shares] == [("huvo11a", 90), ("wuno96b", 10)]
+        assert single.address == Address("198.18.0.1", 8080) and not single.idempotent
+        assert found.record.idle_s == 15.0 and found.record.version == 7
+
+    def test_a_withdrawal_and_its_end(self):
+        found, _ = read_item(item("op/evacuate/kol-north", {}))
+        ended, _ = read_item({"key": "op/evacuate/kol-north", "revision": 9, "tombstone": True})
+        assert (found.name, found.present, ended.present) == ("kol-north", True, False)
+
+    def test_an_upstream_that_is_gone(self):
+        found, _ = read_item({"key": "servers/i-1", "revision": 9, "tombstone": True})
+        assert found.record is None and not found.present
+
+
+class TestOtherWriters:
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "resting"},
+            {"address": "nowhere"},
+            {"address": "10.1.0.300:80"},
+            {"concurrency": "four"},
+            {"service": None},
+            {"born": True},
+            {"born": float("inf")},
+            {"warmupLeftMs": float("nan")},
+        ],
+        ids=str,
+    )
+    def test_a_field_of_another_kind_names_no_upstream(self, change):
+        found, problem = read_item(item("servers/i-1", ENDPOINT | change))
+        assert found.record is None and isinstance(problem, UnreadableItemError)
+
+    @pytest.mark.parametrize("field", ["service", "address", "zone", "concurrency", "state"])
+    def test_nor_does_one_that_is_missing(self, field):
+        value = {name: part for name, part in ENDPOINT.items() if name != field}
+        assert read_item(item("servers/i-1", value))[0].record is None
+
+    def test_an_unreadable_configuration_is_left_out(self):
+        found, problem = read_item(item("op/config", b"\xff\xfe"))
+        assert found is None and problem is not None
+
+    @given(JSON)
+    def test_any_value_is_read_or_refused(self, value):
+        for key in ("servers/i-1", "op/config", "op/evacuate/x", "other"):
+            read_item(item(key, value))
+
+    @given(st.dictionaries(st.sampled_from(["key", "value", "revision", "tombstone"]), JSON))
+    def test_any_item_is_read_or_refused(self, raw):
+        read_item(raw)
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_read_or_refused(self, data):
+        for key in ("servers/i-1", "op/config"):
+            read_item(item(key, data))
--- /dev/null
+++ b/tests/test_stream_settings.py
@@ -0,0 +1,118 @@
+"""Settings of byte streams are checked whole, and each bad line is named."""
+
+import os
+from pathlib import Path
+
+from typer.testing import CliRunner
+
+from heatheryoke.cli import app
+from heatheryoke.daemons.json_log import JsonLog
+from heatheryoke.daemons.stream_application import StreamAgentApplication
+from heatheryoke.daemons.stream_settings import STREAM_SETTINGS, read_stream_settings
+from heatheryoke.inventory.model import Address, Role
+
+ROOT = Path(__file__).parent.parent
+AGENT = """
+[process]
+name = side-north-1
+ip = 10.1.0.12
+failure_domain = north
+first_start = true
+peer_ports = 7720,7735
+
+[listen]
+callers = 10.1.0.12:8172
+status = 10.1.0.12:8167
+
+[store]
+address = 10.200.1.7:8169
+
+[upstream]
+answers = 10.1.0.12:8162
+address = 10.1.0.12:8165
+service = live
+flow_lifetime_s = 60
+"""
+
+
+def written(folder, text):
+    path = folder / "settings.ini"
+    path.write_text(text)
+    return path
+
+
+class TestReading:
+    def test_reads_an_agents_settings(self, tmp_path):
+        settings, problems = read_stream_settings(written(tmp_path, AGENT), Role.AGENT)
+        assert problems == ()
+        assert settings.upstream == Address("10.1.0.12", 8165)
+        assert settings.peer_ports == (7720, 7735) and settings.flow_lifetime_s == 60.0
+
+    def test_a_balancer_needs_no_upstream(self, tmp_path):
+        text = AGENT[: AGENT.index("[upstream]")]
+        settings, problems = read_stream_settings(written(tmp_path, text), Role.BALANCER)
+        assert problems == () and settings.upstream is None
+
+    def test_every_bad_line_is_named(self, tmp_path):
+        text = (
+            AGENT.replace("8172", "99999")
+            .replace("7720,7735", "7735,7720")
+            .replace("first_start = true", "first_start = perhaps")
+            .replace("flow_lifetime_s = 60", "flow_lifetime_s = -1")
+            .replace("service = live\n", "")
+        )
+        settings, problems = read_stream_settings(written(tmp_path, text), Role.AGENT)
+        assert settings is None
+        keys = {problem.key for problem in problems}
+        assert keys == {"callers", "peer_ports", "first_start", "flow_lifetime_s", "service"}
+
+    def test_an_unreadable_file_is_a_problem(self, tmp_path):
+        for text in ("[process", "name = outside"):
+            settings, problems = read_stream_settings(written(tmp_path, text), Role.AGENT)
+            assert settings is None and problems
+
+
+class TestCommand:
+    def test_check_names_the_line(self, tmp_path):
+        path = written(tmp_path, AGENT.replace("8165", "none"))
+        result = CliRunner().invoke(app, ["check", str(path), "--role", "agent", "--streams"])
+        assert result.exit_code == 2
+        assert "[upstream] address" in result.output
+
+    def test_check_accepts_good_settings(self, tmp_path):
+        path = written(tmp_path, AGENT)
+        result = CliRunner().invoke(app, ["check", str(path), "--role", "agent", "--streams"])
+        assert result.exit_code == 0
+
+
+class TestPages:
+    def test_the_operators_page_has_every_setting(self):
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+        for row in STREAM_SETTINGS:
+            roles = "both" if len(row.roles) == 2 else row.roles[0].value
+            assert f"| {row.section} | {row.key} | {roles} | {row.help} |" in page, row.key
+
+    def test_the_template_has_every_setting(self):
+        template = (ROOT / "deploy" / "settings.ini").read_text(encoding="utf-8")
+        for row in STREAM_SETTINGS:
+            assert f"{row.key} = {{{{" in template, row.key
+
+
+class TestReload:
+    def test_a_file_that_changes_without_a_signal_is_read_again(self, tmp_path):
+        path = written(tmp_path, AGENT)
+        settings, _ = read_stream_settings(path, Role.AGENT)
+        application = StreamAgentApplication(settings, path, JsonLog("a", descriptor=None))
+        path.write_text(AGENT.replace("service = live", "service = print"))
+        os.utime(path, ns=(1, 1))
+        application.next_settings_check = 0.0
+        application.check_settings()
+        assert application.node.service == "print"
+
+    def test_unusable_settings_change_nothing(self, tmp_path):
+        path = written(tmp_path, AGENT)
+        settings, _ = read_stream_settings(path, Role.AGENT)
+        application = StreamAgentApplication(settings, path, JsonLog("a", descriptor=None))
+        path.write_text("[process")
+        application.reload()
+        assert application.node.service == "live" and application.settings == settings
