Keep the watch of the store alive through any answer

Cause: an answer that is not the store's (a body without its fields, or of another type) ended the watch for good and silently; found by reading the path of the infinite number.

--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -59,6 +59,8 @@
 STREAM_TICK_S = 0.1
 # How often the settings file is looked at, which may change without a signal.
 SETTINGS_CHECK_S = 1.0
+# The pause before a watch that a defect has ended is begun anew.
+WATCH_RESTART_S = 1.0
 METRICS_PATH = "/metrics"
 RECEIVE_BUFFER_BYTES = 1024 * 1024
 # Histograms kept at once, each of a name, service and route; routes without requests have none.
@@ -138,10 +140,23 @@
         """Open everything; an `OSError` tells that an address is taken."""
         self.peers = self.open_port(self.peer_address, self.on_peer_datagrams)
         await self.server.start(self.settings.status)
-        self.watching = asyncio.get_running_loop().create_task(self.watch.run())
+        self.start_watch()
         self.tick()
         self.log.write("start", role=self.role.value, settings=str(self.path))
 
+    def start_watch(self) -> None:
+        """Begin to watch the store."""
+        self.watching = asyncio.get_running_loop().create_task(self.watch.run())
+        self.watching.add_done_callback(self.on_watch_ended)
+
+    def on_watch_ended(self, task: asyncio.Task[None]) -> None:
+        """Begin anew after a defect ended the watch; the view in force stays meanwhile."""
+        if task.cancelled():
+            return
+        self.add("faults")
+        self.log.write("fault", kind="StoreWatch", error=repr(task.exception()))
+        asyncio.get_running_loop().call_later(WATCH_RESTART_S, self.start_watch)
+
     async def run(self) -> int:
         """Run until stopped by a signal; return the exit code."""
         loop = asyncio.get_running_loop()
--- a/src/heatheryoke/platform/store.py
+++ b/src/heatheryoke/platform/store.py
@@ -65,12 +65,20 @@
     async def read_range(self, prefix: str, after: str, timeout_s: float) -> Reading:
         """Return the items under a prefix after a key, one page."""
         query = {"prefix": prefix} | ({"after": after} if after else {})
-        return _reading(await self.call(RANGE_PATH, query, timeout_s), "items")
+        return self.read(await self.call(RANGE_PATH, query, timeout_s), "items")
 
     async def watch(self, prefix: str, after: int, wait_s: float, timeout_s: float) -> Reading:
         """Return the changes under a prefix after a revision, as soon as there are any."""
         query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
-        return _reading(await self.call(WATCH_PATH, query, wait_s + timeout_s), "events")
+        return self.read(await self.call(WATCH_PATH, query, wait_s + timeout_s), "events")
+
+    def read(self, body: Any, rows_field: str) -> Reading:
+        """Return what a body holds; a body that is not the store's counts as no answer."""
+        try:
+            return _reading(body, rows_field)
+        except (LookupError, TypeError, ValueError, AttributeError) as error:
+            self.close()
+            raise StoreUnavailableError(f"malformed answer: {error!r}") from error
 
     async def call(self, path: str, query: dict[str, Any], timeout_s: float) -> dict[str, Any]:
         """Make a GET call; raise `StoreUnavailableError` or `HistoryGoneError`."""
@@ -81,7 +89,7 @@
         except TimeoutError:
             self.close()
             raise StoreUnavailableError("timeout") from None
-        except (OSError, ValueError, httptools.HttpParserError) as error:
+        except (OSError, ValueError, RecursionError, httptools.HttpParserError) as error:
             self.close()
             raise StoreUnavailableError(repr(error)) from error
 
--- a/src/heatheryoke/standins/stream_store.py
+++ b/src/heatheryoke/standins/stream_store.py
@@ -23,7 +23,7 @@
         self.revision = 1
         self.items: dict[str, dict[str, Any]] = {}
         self.events: list[dict[str, Any]] = []
-        self.oldest = 1
+        self.last_dropped = 0
         self.is_down = False
         self.delay_s = 0.0
         self.calls = 0
@@ -77,7 +77,7 @@
         """Drop all but the last events; watches from before get 410."""
         dropped = self.events[: len(self.events) - keep]
         if dropped:
-            self.oldest = dropped[-1]["revision"]
+            self.last_dropped = dropped[-1]["revision"]
         self.events = self.events[len(dropped) :]
         self.wake()
 
@@ -105,7 +105,7 @@
         while True:
             if self.is_down:
                 raise web.HTTPServiceUnavailable
-            if after < self.oldest - 1:
+            if after < self.last_dropped:
                 raise web.HTTPGone
             rows = [row for row in self.events if row["revision"] > after]
             rows = [row for row in rows if row["key"].startswith(prefix)]
