--- a/src/heatheryoke/standins/caller.py
+++ b/src/heatheryoke/standins/caller.py
@@ -53,7 +53,8 @@
     async def request(self, message: aiocoap.Message, timeout_s: float) -> aiocoap.Message | None:
         """Return the answer, None if there is none in time."""
         try:
-            return await asyncio.wait_for(self.context.request(message).response, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await self.context.request(message).response
         except (TimeoutError, aiocoap.error.Error):
             return None
 
--- a/src/heatheryoke/standins/platform.py
+++ b/src/heatheryoke/standins/platform.py
@@ -54,7 +54,8 @@
         wait_s = float(request.query.get("wait", "0"))
         if self.current <= after and wait_s > 0:
             try:
-                await asyncio.wait_for(self.changed.wait(), wait_s)
+                async with asyncio.timeout(wait_s):
+                    await self.changed.wait()
             except TimeoutError:
                 return web.Response(status=304)
         if self.is_down:
--- a/src/heatheryoke/standins/stream_caller.py
+++ b/src/heatheryoke/standins/stream_caller.py
@@ -110,7 +110,8 @@
         while not condition() and loop.time() < ends:
             self.news.clear()
             try:
-                await asyncio.wait_for(self.news.wait(), ends - loop.time())
+                async with asyncio.timeout_at(ends):
+                    await self.news.wait()
             except TimeoutError:
                 return
 
--- a/src/heatheryoke/standins/stream_store.py
+++ b/src/heatheryoke/standins/stream_store.py
@@ -113,6 +113,7 @@
             if rows or left_s <= 0:
                 return web.json_response({"events": rows, "currentRev": self.revision})
             try:
-                await asyncio.wait_for(self.changed.wait(), left_s)
+                async with asyncio.timeout(left_s):
+                    await self.changed.wait()
             except TimeoutError:
                 continue
