Bound what first packets leave behind

Cause: entries of flows that were only passed on had no bound: 300,000 tried, 300,000 kept for 2 s and longer, since only 200 a tick were dropped. A flow that its caller did not follow up kept its place for 19 s. Change: the bound of the directory holds for them too; such a flow is forgotten after 4 s.

--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -67,6 +67,8 @@
         row = Registration(flow, owner, generation, 0, False, False, ())
         self.tentative[flow] = Entry(row, now + TENTATIVE_S, True, assigned)
         self.tentative.move_to_end(flow)
+        if len(self.tentative) > self.maximum:
+            self.tentative.popitem(last=False)
 
     def register(self, row: Registration, now: float) -> Outcome:
         """Take an owner's word, unless another owner's stands before it."""
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -25,7 +25,8 @@
 
 __all__ = ["StreamOwner"]
 
-# How long a closed flow is remembered: two of the longest retransmission intervals (1.6 s).
+# How long a flow is remembered that is closed, or that its caller does not follow up: two of the
+# longest retransmission intervals (1.6 s).
 CLOSING_S = 4.0
 # How long a new flow counts as a request although none has come: two retransmissions.
 OPENING_S = 0.5
@@ -72,6 +73,7 @@
         head = self.codec.read_head(message.payload)
         if not head.opens and owned.accepted is not None and not owned.answered:
             owned.answered = True
+            self.keep(owned)
             self.registrar.register(owned, self.topology)
         if head.length and not owned.requested:
             self.start_request(owned, now)
@@ -164,11 +166,22 @@
     def note_end(self, owned: OwnedStream, head: StreamHead, now: float) -> None:
         """Plan to forget a flow that both ends have closed, or one has reset."""
         over = head.resets or (owned.caller_closed and owned.upstream_closed)
-        if over and owned.ending_at is None:
-            owned.ending_at = now + CLOSING_S
-            self.ending[owned.flow] = owned
+        if over and not owned.is_over:
+            owned.is_over = True
+            self.end_later(owned, now)
             self.end_request(owned)
 
+    def end_later(self, owned: OwnedStream, now: float) -> None:
+        """Plan to forget a flow that is over, or that nobody has followed up yet."""
+        owned.ending_at = now + CLOSING_S
+        self.ending[owned.flow] = owned
+        self.ending.move_to_end(owned.flow)
+
+    def keep(self, owned: OwnedStream) -> None:
+        """Keep a flow whose caller goes on with it."""
+        if not owned.is_over:
+            self.ending.pop(owned.flow, None)
+
     def adopt(self, owned: OwnedFlow, now: float) -> None:
         """Enter a flow into the tables."""
         self.flows.add(owned)
--- a/src/heatheryoke/core/streams.py
+++ b/src/heatheryoke/core/streams.py
@@ -71,6 +71,7 @@
         "ending_at",
         "feed",
         "found_slot",
+        "is_over",
         "requested",
         "upstream_closed",
         "via",
@@ -87,7 +88,8 @@
         self.feed = False
         self.caller_closed = False
         self.upstream_closed = False
-        self.ending_at: float | None = None
+        self.is_over = False
+        self.ending_at = now
         self.via: Address | None = None
         self.visited: tuple[Visit, ...] = ()
 
--- /dev/null
+++ b/tests/test_many_flows.py
@@ -0,0 +1,74 @@
+"""Memory stays bounded whatever number of flows is tried."""
+
+from heatheryoke.core.directory import Directory
+from heatheryoke.core.effects import Deliver
+from heatheryoke.core.events import CallerPacket, PeerMessageArrived, Tick, UpstreamPacket
+from heatheryoke.core.messages import Hint
+from heatheryoke.core.stream_agent import MAXIMUM_ENTRIES
+from heatheryoke.core.stream_balancer import MAXIMUM_HINTS
+from heatheryoke.platform.packets import ACK, SYN
+from tests.test_streams import (
+    BALANCER,
+    HOLD,
+    NOW,
+    flow_of,
+    forward,
+    make_agent,
+    make_balancer,
+    of_kind,
+    packet,
+)
+
+TRIED = 300_000
+
+
+class TestDirectory:
+    def test_flows_that_were_only_passed_on_are_bounded(self):
+        directory = Directory(maximum=1_000)
+        for number in range(TRIED):
+            directory.expect(number.to_bytes(13, "big"), "host", 0, False, NOW)
+        assert len(directory) <= 2_000
+
+
+class TestBalancer:
+    def test_keeps_a_bounded_number_of_owners(self):
+        node = make_balancer()
+        for number in range(30_000):
+            flow = flow_of(number)
+            node.reduce(PeerMessageArrived(NOW, BALANCER, 3, Hint(flow, number)))
+            node.reduce(CallerPacket(NOW, flow, 0, packet(flow, SYN)))
+        assert len(node.hints) <= MAXIMUM_HINTS
+
+
+class TestAgent:
+    """Load pattern: first packets that nobody follows up, far more than a host holds flows."""
+
+    def flood(self, agent, count, began):
+        taken = 0
+        for number in range(count):
+            now = began + number / 5_000
+            flow = flow_of(number % 60_000, HOLD)
+            opened = agent.reduce(forward(flow, packet(flow, SYN), assigned=True, now=now))
+            if of_kind(opened, Deliver):
+                taken += 1
+                accepted = packet(flow, SYN | ACK, 500, 2, from_upstream=True)
+                agent.reduce(UpstreamPacket(now, flow, accepted))
+            if number % 500 == 0:
+                agent.reduce(Tick(now))
+        return taken
+
+    def test_holds_a_bounded_number_of_everything(self):
+        agent = make_agent()
+        self.flood(agent, 20_000, NOW)
+        assert len(agent.flows) <= 2_000
+        assert len(agent.directory) <= MAXIMUM_ENTRIES
+        assert len(agent.queue) <= 400 and len(agent.offered) <= 2_000
+
+    def test_takes_new_flows_again_soon_after(self):
+        agent = make_agent()
+        self.flood(agent, 20_000, NOW)
+        later = NOW + 4.0 + 4.5
+        for step in range(10):
+            agent.reduce(Tick(later + step / 10))
+        assert len(agent.flows) == 0
+        assert self.flood(agent, 1, later + 1.0) == 1
