Take the pace of the watch from the bounds in the settings

Cause: 1.5 s was half of a bound that differs between deployments (3 s, 5 s); calls cost most where there are many processes. Change: 0.55 of the tighter of the two bounds, both from the settings.

--- a/src/heatheryoke/daemons/setting_values.py
+++ b/src/heatheryoke/daemons/setting_values.py
@@ -5,7 +5,7 @@
 from heatheryoke.inventory.model import Address
 
 __all__ = ["SettingProblem", "parse_address", "parse_name", "parse_ports", "parse_seconds"]
-__all__ += ["parse_switch"]
+__all__ += ["parse_milliseconds", "parse_switch"]
 
 
 class SettingProblem(NamedTuple):
@@ -60,6 +60,11 @@
     return number
 
 
+def parse_milliseconds(text: str) -> float:
+    """Return the seconds in a positive number of milliseconds."""
+    return parse_seconds(text) / 1000
+
+
 def parse_switch(text: str) -> bool:
     """Return whether the text is `true`; only `false` is the other."""
     if text not in ("true", "false"):
--- a/src/heatheryoke/daemons/store_watch.py
+++ b/src/heatheryoke/daemons/store_watch.py
@@ -11,8 +11,8 @@
 __all__ = ["StoreWatch"]
 
 ALL_KEYS = ""
-# Half of the tightest bound by which a change must be in force (configMs and drainMs, 3 s).
-PACE_S = 1.5
+# The part of the time within which a change must be in force that may pass between two calls.
+PACE_SHARE = 0.55
 # While a process waits for the entry of its own upstream, which gets no flow before.
 HURRIED_PACE_S = 0.3
 WAIT_S = 3.0
@@ -21,7 +21,7 @@
 
 
 class StoreWatch:
-    """One watch over all keys, no more often than every `PACE_S`: each call has its price."""
+    """One watch over all keys, no more often than news is needed: each call has its price."""
 
     def __init__(
         self,
@@ -32,6 +32,7 @@
         unavailable: Callable[[str], None],
         unreadable: Callable[[UnreadableItemError], None],
         is_hurried: Callable[[], bool],
+        change_within_s: float,
     ):
         self.client = client
         self.backoff = backoff
@@ -40,6 +41,7 @@
         self.unavailable = unavailable
         self.unreadable = unreadable
         self.is_hurried = is_hurried
+        self.pace_s = PACE_SHARE * change_within_s
         self.revision: int | None = None
 
     async def run(self) -> None:
@@ -50,7 +52,7 @@
             try:
                 await self.step()
                 self.backoff.succeed()
-                pace_s = HURRIED_PACE_S if self.is_hurried() else PACE_S
+                pace_s = HURRIED_PACE_S if self.is_hurried() else self.pace_s
                 await asyncio.sleep(max(0.0, began + pace_s - loop.time()))
             except HistoryGoneError:
                 self.revision = None
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -98,6 +98,7 @@
             self.on_store_unavailable,
             self.on_unreadable,
             self.node.is_hurried,
+            min(settings.leaving_within_s, settings.configuration_within_s),
         )
         self.watching: asyncio.Task[None] | None = None
         self.ticker: asyncio.TimerHandle | None = None
--- a/src/heatheryoke/daemons/stream_settings.py
+++ b/src/heatheryoke/daemons/stream_settings.py
@@ -8,6 +8,7 @@
 from heatheryoke.daemons.setting_values import (
     SettingProblem,
     parse_address,
+    parse_milliseconds,
     parse_name,
     parse_ports,
     parse_seconds,
@@ -32,6 +33,8 @@
     callers: Address
     status: Address
     store: Address
+    leaving_within_s: float
+    configuration_within_s: float
     answers: Address | None
     upstream: Address | None
     service: str | None
@@ -81,6 +84,22 @@
         "status", "listen", "status", parse_address, BOTH, "Readiness and metrics (HTTP)."
     ),
     StreamSetting("store", "store", "address", parse_address, BOTH, "The platform's store."),
+    StreamSetting(
+        "leaving_within_s",
+        "store",
+        "leaving_within_ms",
+        parse_milliseconds,
+        BOTH,
+        "How soon a leaving upstream must get no new flow (ms).",
+    ),
+    StreamSetting(
+        "configuration_within_s",
+        "store",
+        "configuration_within_ms",
+        parse_milliseconds,
+        BOTH,
+        "How soon a configuration must be in force (ms).",
+    ),
     StreamSetting(
         "answers", "upstream", "answers", parse_address, AGENT, "Where the upstream sends (UDP)."
     ),
--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -28,6 +28,7 @@
 PROBE_S = 0.25
 MISSES = 2
 HEARTBEAT_S = 1.0
+CHANGE_WITHIN_S = 3.0
 FIRST_PORTS = 20_000
 LAST_PORTS = 30_000
 
@@ -175,6 +176,8 @@
             Address(host.ip, self.ports.callers),
             Address(host.ip, self.ports.status),
             self.store_address,
+            CHANGE_WITHIN_S,
+            CHANGE_WITHIN_S,
             Address(host.ip, self.ports.answers) if is_agent else None,
             Address(host.ip, self.ports.app) if is_agent else None,
             host.service,
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -30,6 +30,7 @@
             self.lost.append,
             self.unreadable.append,
             lambda: True,
+            3.0,
         )
 
     def names(self):
--- a/tests/test_stream_settings.py
+++ b/tests/test_stream_settings.py
@@ -26,6 +26,8 @@
 
 [store]
 address = 10.200.1.7:8169
+leaving_within_ms = 3000
+configuration_within_ms = 3000
 
 [upstream]
 answers = 10.1.0.12:8162
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -402,6 +402,8 @@
             BALANCER,
             BALANCER,
             BALANCER,
+            3.0,
+            3.0,
             BALANCER,
             BALANCER,
             "live",
