Ask up to 80 hosts before a flow is called lost

Cause: on sites of 55 and 64 upstreams a search ended at 30 hosts, so no flow was ever called lost, and callers waited to their deadline after a loss of power. Change: MAXIMUM_ASKED 30 -> 80, visits in a datagram 32 -> 100 (12 bytes each).

--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -21,7 +21,7 @@
 # Flows whose packets the upstream has been asked about; beyond it the oldest question is dropped.
 MAXIMUM_OFFERED = 2_000
 # Hosts asked for one packet: at about 1 ms each, well within the first retransmission (200 ms).
-MAXIMUM_ASKED = 30
+MAXIMUM_ASKED = 80
 # Hosts remembered that have asked for their flows: the fleet's size to design for.
 MAXIMUM_HEARD_OF = 11_000
 # Hosts that started within this time of each other have lost power together.
--- a/src/heatheryoke/wire/forward.py
+++ b/src/heatheryoke/wire/forward.py
@@ -16,7 +16,7 @@
 VISIT = struct.Struct("!Qf")
 ASSIGNED = 1
 DEPUTED = 2
-MAXIMUM_VISITS = 32
+MAXIMUM_VISITS = 100
 
 
 def encode_forward(message: Forward) -> bytes:
