--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -50,7 +50,7 @@
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.items import UnreadableItemError
 from heatheryoke.platform.packets import PacketCodec, Side, check_packet, packet_flow
-from heatheryoke.platform.ready import READY_PATH
+from heatheryoke.platform.process import READY_PATH
 from heatheryoke.platform.store import StoreClient
 from heatheryoke.wire.peers import open_datagram, seal_datagram
 
--- a/src/heatheryoke/daemons/stream_role.py
+++ b/src/heatheryoke/daemons/stream_role.py
@@ -7,16 +7,17 @@
 import sys
 from pathlib import Path
 
+from heatheryoke.platform.process import SETTINGS_VARIABLE
+
 __all__ = ["main"]
 
-SETTINGS_VARIABLE = "HEATHERYOKE_BOOT"
 EXIT_UNUSABLE = 2
 
 
 def main(arguments: list[str]) -> int:
     """Run the role that the first argument names by the settings file; return the exit code.
 
-    The file is the second argument, or the one that `HEATHERYOKE_BOOT` names.
+    The file is the second argument, or the one that the platform names.
     """
     sys.modules.setdefault("ssl", None)  # asyncio then leaves TLS out, which nothing here speaks
     from heatheryoke.daemons.stream_application import STREAM_APPLICATIONS, run_role
--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -13,7 +13,7 @@
 from heatheryoke.daemons.stream_application import STREAM_APPLICATIONS, StreamApplication
 from heatheryoke.daemons.stream_settings import StreamSettings
 from heatheryoke.inventory.model import Address, Role
-from heatheryoke.platform.ready import READY_PATH
+from heatheryoke.platform.process import READY_PATH
 from heatheryoke.standins.stream_caller import StreamCaller
 from heatheryoke.standins.stream_store import StreamStore
 from heatheryoke.standins.stream_upstream import StreamUpstream
