--- a/src/heatheryoke/core/backoff.py
+++ b/src/heatheryoke/core/backoff.py
@@ -6,7 +6,7 @@
 
 # The first wait (s): fifty answers of the store (4 ms).
 FIRST_S = 0.2
-# The longest (s): the usual pace of a watch, so that a store that is back is seen as soon as news is.
+# The longest (s): the usual pace of a watch, so that a store's return is seen as soon as news is.
 LONGEST_S = 1.6
 
 
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -32,8 +32,8 @@
 
 # Entries that lapsed with the store are back within about two seconds (the platform's word).
 LAPSE_GRACE_S = 2.3
-# After so long without a disturbance every living upstream stands in the view: that grace, and three
-# heartbeats of the slowest platform known (1.2 s).
+# After so long without a disturbance every living upstream stands in the view: that grace, and
+# three heartbeats of the slowest platform known (1.2 s).
 SETTLED_S = 6.0
 # Flows of an upstream whose service the configuration does not describe.
 DEFAULT_CONNECTIONS = 1_000
