--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -29,7 +29,6 @@
         super().__init__(*arguments, **options)
         self.directory = Directory(MAXIMUM_ENTRIES, ENTRY_S)
         self.has_asked_peers = False
-        self.newest_epoch_used = 0
 
     def on_forward(self, event: ForwardArrived) -> list[Effect]:
         """Deliver a caller's packet if its flow is this host's, else find out whose it is."""
@@ -50,14 +49,9 @@
     def on_opening(self, event: ForwardArrived) -> list[Effect]:
         """Place a new flow, by the newer of the sender's configuration and this process's.
 
-        Once a newer one was gone by, an older one is not: its packets are dropped, and come again.
         What another agent has passed on is placed here: their views of the homes may differ.
         """
         message = event.message
-        epoch = max(event.epoch, self.epoch)
-        if epoch < self.newest_epoch_used:
-            return [Count("dropped_older_configuration")]
-        self.newest_epoch_used = epoch
         service = self.topology.service_of(message.flow)
         if event.epoch > self.epoch:
             service = self.topology.service_ids.get(message.service_id)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -445,15 +445,6 @@
         event = forward(flow, packet(flow, SYN), epoch=9, service_id=short_id("print"))
         assert not of_kind(agent.reduce(event), Deliver)
 
-    def test_by_an_older_configuration_once_it_went_by_a_newer_one(self):
-        agent, new, old = make_agent(), flow_of(1), flow_of(2)
-        newer = forward(new, packet(new, SYN), epoch=9, assigned=True)
-        assert of_kind(agent.reduce(newer), Deliver)
-        older = forward(old, packet(old, SYN), epoch=3, assigned=True)
-        assert not of_kind(agent.reduce(older), Deliver)
-        agent.reduce(StoreChanged(NOW, (configuration(9, 99),)))
-        assert of_kind(agent.reduce(older), Deliver)
-
     def test_but_its_established_flows_go_on(self):
         agent, flow = make_agent(), flow_of(1)
         opened(agent, flow)
