Register a feed before its caller hears of it

Cause of the feeds that stayed silent after an agent's kill (known red): a feed's registration was queued and sent with the next tick, up to 50 ms after its first notification had reached the caller. A kill in between left a feed that nobody knew; a caller with a feed sends nothing more, so nothing brought it back. Ruled out: lost recovery replies (the restarted agent had taken back the other feeds), the upstream (it notified the feeds it was told of). Change: a change of a flow's feeds is sent to its homes at once, ahead of the packet to the caller. Test in test_routing, failed before (0 keepers). Conclusion: the scenario leaves KNOWN-RED. A datagram to both homes that is lost still leaves the window of one resend (0.3 s).

--- a/features/faults.feature
+++ b/features/faults.feature
@@ -12,7 +12,6 @@
     And no feed was broken
     And no write has run twice
 
-  @known-red
   Scenario: An agent that is killed and comes back keeps its feeds
     Given the sundarban deployment runs as separate processes
     When 14 callers open feeds
--- a/src/heatheryoke/core/request_home.py
+++ b/src/heatheryoke/core/request_home.py
@@ -122,16 +122,23 @@
         return [BindFlow(owned.flow, endpoint.address, owned.local_port)]
 
     def on_upstream_packet(self, event: UpstreamPacket) -> list[Effect]:
-        """Pass an upstream's datagram to the caller of its flow."""
+        """Pass an upstream's datagram to the caller of its flow.
+
+        A feed's homes hear of it before its caller does: a caller that has its feed sends nothing
+        more, so that nobody would notice if this process were killed and the feed not known.
+        """
         owned = self.flows.flows.get(event.flow)
         if owned is None or self.withdrawn or self.confirming:
             return [Count("dropped_late_answers")]
         self.flows.touch(owned, event.now)
         feeds = len(owned.feeds)
         effects = self.engine.on_answer(owned, event.payload, event.now)
-        if len(owned.feeds) != feeds or not owned.answered:
+        has_changed = len(owned.feeds) != feeds
+        if has_changed or not owned.answered:
             owned.answered = True
             self.registrar.register(owned, self.topology)
+        if has_changed:
+            return self.registrar.flush(self.flows, self.topology, event.now) + effects
         return effects
 
     def on_upstream_gone(self, event: UpstreamGone) -> list[Effect]:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -23,6 +23,7 @@
     FlowBound,
     ForwardArrived,
     PeerMessageArrived,
+    UpstreamPacket,
 )
 from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key
 from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Registration, Visit, Yield
@@ -30,7 +31,7 @@
 from heatheryoke.core.requests import RequestKind
 from heatheryoke.inventory.checks import short_id
 from heatheryoke.inventory.document import Address, Protocol
-from heatheryoke.measure.plain_codec import REQUEST, PlainCodec, PlainMessage
+from heatheryoke.measure.plain_codec import ANSWER, REQUEST, PlainCodec, PlainMessage
 from heatheryoke.standins.deployments import DEPLOYMENTS, make_document
 
 NOW = 100.0
@@ -254,3 +255,18 @@
         homes = {home.address for home in node.topology.view(main.name).homes(flow)}
         own = node.topology.hosts["upstream-1"].address
         assert {effect.to for effect in sent} == homes - {own}
+
+    def test_a_feed_is_registered_before_its_caller_hears_of_it(self):
+        published = document()
+        main = published.services[0]
+        flow = flow_to(main)
+        node = make_agent(published)
+        opening = PlainMessage(REQUEST, RequestKind.FEED, 1, "feed", b"t")
+        node.reduce(forward(flow, main, assigned=True, payload=opening.encode()))
+        node.reduce(FlowBound(NOW, flow, 4_001))
+        answer = opening._replace(phase=ANSWER, feed=True).encode()
+        effects = node.reduce(UpstreamPacket(NOW + 0.1, flow, answer))
+        (heard,) = of_kind(effects, AnswerCaller)
+        before = of_kind(effects[: effects.index(heard)], SendPeer)
+        keepers = {effect.to for effect in before for row in effect.message.entries if row.feeds}
+        assert len(keepers) == 2
