Find a silent slowdown by the likelihood of its service times, requests in progress included

Change: Page's test on exponential service times, with the time spent on requests in progress; at an evidence of 3 the upstream is held to its floor, at 9 it is cold, below 2 it is free again.

--- a/src/heatheryoke/core/admission.py
+++ b/src/heatheryoke/core/admission.py
@@ -7,6 +7,7 @@
 from sortedcontainers import SortedKeyList
 
 from heatheryoke.core.requests import ActiveRequest, RequestPhase
+from heatheryoke.core.slowdown import FACTOR, SlowdownTest
 
 __all__ = ["Admission", "ColdReason", "Decision", "UpstreamState"]
 
@@ -14,9 +15,14 @@
 FIRST_SERVICE_S = 0.1
 BASELINE_GAIN = 0.05
 BASELINE_SAMPLES = 10
-SLOWNESS_CAP = 6.0
-SLOWNESS_ALLOWED = 2.0
-SLOWNESS_ALARM = 8.0
+# A request in progress for so many usual service times is no longer waited for.
+OVERDUE_FACTOR = 6.0
+# Evidence (a natural logarithm) at which an upstream is held to its floor until more is known.
+SUSPICIOUS = 3.0
+# Evidence at which a suspicion is dropped.
+CLEARED = 2.0
+# Evidence at which an upstream is taken to be cold.
+CERTAIN = 9.0
 PROBE_S = 0.5
 PATIENCE_S = 2.0
 FIRST_PATIENCE_S = 10.0
@@ -69,7 +75,8 @@
         self.queue: SortedKeyList[ActiveRequest] = SortedKeyList(key=_priority)
         self.baselines: dict[str, tuple[int, float]] = {}
         self.service_s = FIRST_SERVICE_S
-        self.slowness = 0.0
+        self.slowdown = SlowdownTest()
+        self.is_suspected = False
         self.gap_until = now
         self.cold_starts = 0
         self.cold_reason = ColdReason.FIRST_START
@@ -125,6 +132,7 @@
     def advance(self, now: float) -> Decision:
         """Start what has room, and refuse what can no longer be run in time."""
         self.notice_overdue(now)
+        self.judge(now)
         refused = self.overflow(now) if self.queue else []
         started: list[ActiveRequest] = []
         while self.renewals and self.has_slot(now):
@@ -135,7 +143,8 @@
 
     def has_slot(self, now: float) -> bool:
         """Tell whether one more request may start."""
-        return len(self.running) < max(1, int(self.limit)) and now >= self.gap_until
+        limit = self.floor if self.is_suspected else self.limit
+        return len(self.running) < max(1, int(limit)) and now >= self.gap_until
 
     def begin(self, request: ActiveRequest, now: float) -> ActiveRequest:
         """Occupy a slot."""
@@ -176,9 +185,11 @@
 
     def learn(self, request: ActiveRequest, took: float, now: float) -> None:
         """Grow the limit after a good answer; cut it after a sudden slowdown."""
-        if not request.overdue and self.note_slowness(request, took):
-            self.chill(now, ColdReason.SLOW)
-            return
+        baseline = self.baseline(request)
+        if baseline is not None:
+            self.slowdown.add(took / baseline, self.in_progress(now))
+            if self.judge(now):
+                return
         self.adjust_baseline(request.request.request_class, took)
         self.service_s += BASELINE_GAIN * (took - self.service_s)
         self.good_answers += 1
@@ -188,36 +199,45 @@
             self.state = UpstreamState.WARM
             self.since = now
 
+    def in_progress(self, now: float) -> list[float]:
+        """Return for how many usual service times each request in progress has run."""
+        pairs = ((self.baseline(row), now - row.started) for row in self.running.values())
+        return [taken / baseline for baseline, taken in pairs if baseline is not None]
+
+    def judge(self, now: float) -> bool:
+        """Suspect the upstream of a slowdown, clear it, or take it to be cold (True)."""
+        evidence = self.slowdown.evidence(self.in_progress(now))
+        if evidence > CERTAIN:
+            self.chill(now, ColdReason.SLOW)
+            return True
+        if evidence > SUSPICIOUS:
+            self.is_suspected = True
+        elif evidence < CLEARED:
+            self.is_suspected = False
+        return False
+
     def baseline(self, request: ActiveRequest) -> float | None:
         """Return the usual service time of a request's class, None while it is not known."""
         samples, mean = self.baselines.get(request.request.request_class, (0, 0.0))
         return mean if samples >= BASELINE_SAMPLES else None
 
     def adjust_baseline(self, request_class: str, took: float) -> None:
-        """Take a service time into the mean of its class, which later ones move less and less."""
+        """Take a service time into the mean of its class, which later ones move less and less.
+
+        A single slow answer moves it no further than an answer at the slowdown to be found.
+        """
         samples, mean = self.baselines.get(request_class, (0, 0.0))
+        if samples >= BASELINE_SAMPLES:
+            took = min(took, FACTOR * mean)
         gain = max(BASELINE_GAIN, 1 / (samples + 1))
         self.baselines[request_class] = (samples + 1, mean + gain * (took - mean))
 
-    def note_slowness(self, request: ActiveRequest, took: float) -> bool:
-        """Add to the cumulative sum of slowness; tell whether it raises the alarm."""
-        baseline = self.baseline(request)
-        if baseline is None:
-            return False
-        excess = min(took / baseline, SLOWNESS_CAP) - SLOWNESS_ALLOWED
-        self.slowness = max(0.0, self.slowness + excess)
-        return self.slowness > SLOWNESS_ALARM
-
     def notice_overdue(self, now: float) -> None:
-        """Count a request as slow before its answer is there."""
-        for request in list(self.running.values()):
+        """Mark requests that have been in progress for too long."""
+        for request in self.running.values():
             baseline = self.baseline(request)
-            if request.overdue or baseline is None:
-                continue
-            if now - request.started > SLOWNESS_CAP * baseline:
+            if baseline is not None and now - request.started > OVERDUE_FACTOR * baseline:
                 request.overdue = True
-                if self.note_slowness(request, now - request.started):
-                    self.chill(now, ColdReason.SLOW)
 
     def note_gone(self, now: float) -> None:
         """Take it that the upstream has lost its work; what comes next is tried now and then."""
@@ -230,7 +250,8 @@
         self.cold_reason = reason
         self.limit = self.floor
         self.good_answers = 0
-        self.slowness = 0.0
+        self.slowdown.reset()
+        self.is_suspected = False
         self.cold_starts += 1
         if self.state is UpstreamState.WARM:
             self.since = now
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -111,6 +111,25 @@
         assert admission.cold_reason is ColdReason.SLOW
         assert admission.limit == 1.0
 
+    def test_a_suspicion_holds_the_upstream_to_its_floor_until_answers_are_usual_again(self):
+        admission, now = warm()
+        busy = [admission.offer(request(number), now).start[0] for number in range(700, 704)]
+        now += 2.5 * SERVICE_S
+        admission.advance(now)
+        assert admission.is_suspected
+        assert not admission.is_cold()
+        for row in busy:
+            admission.finish(row, now, refused=False)
+        for number in range(800, 806):
+            (started,) = admission.offer(request(number), now).start
+            if admission.is_suspected:
+                assert admission.offer(request(number + 100), now).start == []
+                admission.withdraw(admission.queue[0])
+            now += SERVICE_S
+            admission.finish(started, now, refused=False)
+        assert not admission.is_suspected
+        assert admission.limit == 4.0
+
     def test_an_upstream_that_is_gone_is_tried_now_and_then(self):
         admission, now = warm()
         admission.note_gone(now)
