End an HTTP connection that is open at a stop without a traceback

Cause: asyncio's streams (3.11) ask a cancelled handler for its exception and print a traceback to standard error, where only JSON lines belong. Change: the handler ends quietly when it is cancelled, which happens only as the process ends. Test: test_http_server, failed before (one report to the loop's exception handler), passes now.

--- a/src/heatheryoke/daemons/http_server.py
+++ b/src/heatheryoke/daemons/http_server.py
@@ -76,6 +76,8 @@
                 request.complete.clear()
         except (OSError, TimeoutError, httptools.HttpParserError):
             return
+        except asyncio.CancelledError:
+            return  # the process ends; the streams of Python 3.11 print a cancelled handler
         finally:
             writer.close()
 
