Let one process read the store and tell the others

Cause: every process kept a watch of its own over all keys; entries change a few times a minute, so nearly all calls returned nothing, and calls were the dearest price on the grown sites. The reader tells agents and balancers heard of what each answer held, also nothing; who hears nothing for 0.45 to 0.6 of the bound reads by itself. Configurations are still read by each. Found by the property test while it was written: an item that changed twice in one reading, back to what it was, left the listener with the first change; now all items of such a subject are told. What is left of the calls are starts and new configurations.

--- a/src/heatheryoke/core/effects.py
+++ b/src/heatheryoke/core/effects.py
@@ -21,6 +21,7 @@
     "SendForward",
     "SendPeer",
     "Stopped",
+    "StoreNewsTaken",
 ]
 
 
@@ -109,6 +110,16 @@
     facts: tuple[tuple[str, Any], ...] = ()
 
 
+class StoreNewsTaken(NamedTuple):
+    """All changes of the store up to a revision are known; it need not be read for a while.
+
+    `from_reader` tells that the process that told of them goes before this one.
+    """
+
+    revision: int
+    from_reader: bool
+
+
 class Stopped(NamedTuple):
     """A graceful stop is complete; the process may end."""
 
--- a/src/heatheryoke/core/events.py
+++ b/src/heatheryoke/core/events.py
@@ -89,17 +89,20 @@
 
 
 class StoreRead(NamedTuple):
-    """Everything that the platform's store holds."""
+    """Everything that the platform's store holds, as of a revision."""
 
     now: float
     items: tuple[StoreItem, ...]
+    revision: int = 0
 
 
 class StoreChanged(NamedTuple):
-    """Items of the platform's store that have changed."""
+    """Items of the platform's store that have changed after one revision, up to another."""
 
     now: float
     items: tuple[StoreItem, ...]
+    after: int = 0
+    revision: int = 0
 
 
 class Tick(NamedTuple):
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from heatheryoke.core.flows import FlowKey, PacketKind
+from heatheryoke.core.records import StoreItem
 from heatheryoke.inventory.model import Address
 
 __all__ = [
@@ -34,6 +35,7 @@
     "ResultReply",
     "ResultRequest",
     "ResultState",
+    "ViewNews",
     "Visit",
     "WitnessSet",
     "Yield",
@@ -130,6 +132,18 @@
     change: bytes
 
 
+class ViewNews(NamedTuple):
+    """All that has changed in the platform's store after one revision, up to the newest.
+
+    Of several processes that read, the one with the least `rank` goes on.
+    """
+
+    rank: int
+    after: int
+    revision: int
+    items: tuple[StoreItem, ...]
+
+
 class RecoveryRequest(NamedTuple):
     """A restarted agent asks a peer for what it held; the answer repeats the question's number."""
 
@@ -312,8 +326,10 @@
     Hint
     | Registrations
     | RegistrationsAck
+    | ViewNews
     | Yield
     | RecoveryRequest
+    | ViewNews
     | RecoveryReply
     | ClaimHandover
     | ClaimHandoverAck
--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -8,7 +8,9 @@
     DiscardQueued,
     Effect,
     LogChange,
+    SendPeer,
     Stopped,
+    StoreNewsTaken,
 )
 from heatheryoke.core.events import (
     ForwardArrived,
@@ -18,10 +20,13 @@
     StoreRead,
     Tick,
 )
+from heatheryoke.core.messages import ViewNews
 from heatheryoke.core.node import Node
+from heatheryoke.core.records import StoreItem
 from heatheryoke.core.routed_topology import RoutedTopology
 from heatheryoke.core.store_view import StoreView
-from heatheryoke.inventory.model import Host
+from heatheryoke.core.view_news import news_of
+from heatheryoke.inventory.model import Address, Host
 
 __all__ = ["StoreNode"]
 
@@ -44,6 +49,7 @@
             PlatformUnavailable: self.on_platform_unavailable,
             PeerMessageArrived: self.on_peer_message,
         }
+        self.message_handlers[ViewNews] = self.on_view_news
 
     @property
     def topology(self) -> RoutedTopology | None:
@@ -103,13 +109,43 @@
         """Take a whole reading of the store."""
         effects = self.note_available(event.now)
         changed = self.view.replace(event.items, event.now)
+        self.view.note_whole(event.revision)
         return effects + self.renew_topology(changed, event.now)
 
     def on_store_changed(self, event: StoreChanged) -> list[Effect]:
-        """Take changes of the store."""
-        effects = self.note_available(event.now)
-        changed = self.view.apply(event.items, event.now)
-        return effects + self.renew_topology(changed, event.now)
+        """Take changes of the store, and tell the others of them."""
+        news = news_of(self.view, self.rank, event.after, event.revision, event.items)
+        effects = self.take_changes(event.items, event.revision, event.now)
+        if news is None or self.routed is None:
+            return effects
+        told = [SendPeer(address, news) for address in self.news_readers(event.now)]
+        return [*effects, Count("news_told", len(told)), *told]
+
+    def take_changes(self, items: tuple[StoreItem, ...], revision: int, now: float) -> list[Effect]:
+        """Take all changes up to a revision."""
+        effects = self.note_available(now)
+        changed = self.view.apply(items, now)
+        self.view.note_whole(revision)
+        return effects + self.renew_topology(changed, now)
+
+    def on_view_news(self, event: PeerMessageArrived) -> list[Effect]:
+        """Take what another process has read, unless something before it is missing here."""
+        news = event.message
+        if not 0 < news.after <= self.view.whole_to:
+            return [Count("news_refused")]
+        effects = self.take_changes(news.items, news.revision, event.now)
+        taken = StoreNewsTaken(news.revision, news.rank < self.rank)
+        return [Count("news_taken"), taken, *effects]
+
+    @property
+    def rank(self) -> int:
+        """This process's place among those that read the store for all: the least one does."""
+        return self.incarnation & 0xFFFFFFFF
+
+    def news_readers(self, now: float) -> list[Address]:
+        """Return the addresses of the processes to tell of changes: every other agent's."""
+        hosts = self.topology.document.hosts
+        return [host.address for host in hosts if host.name != self.host_name]
 
     def on_platform_unavailable(self, event: PlatformUnavailable) -> list[Effect]:
         """Keep the view in force."""
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -61,6 +61,7 @@
         self.configuration: ConfigurationRecord | None = None
         self.table: RouteTable | None = None
         self.revision = 0
+        self.whole_to = 0
         self.unavailable_since: float | None = None
         self.available_since = -inf
         self.first_read_at = inf
@@ -88,6 +89,10 @@
         calm_since = max(self.first_read_at, self.available_since, self.vanished_at)
         return self.unavailable_since is None and now - calm_since > SETTLED_S
 
+    def note_whole(self, revision: int) -> None:
+        """Note that every change up to a revision has been taken."""
+        self.whole_to = max(self.whole_to, revision)
+
     def replace(self, items: tuple[StoreItem, ...], now: float) -> bool:
         """Take a whole reading; what it lacks is gone. Tell whether the topology changes."""
         self.first_read_at = min(self.first_read_at, now)
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -1,14 +1,15 @@
 """The agent's reducer where flows are byte streams."""
 
+from collections import OrderedDict
 from typing import Any
 
 from heatheryoke.core.directory import Directory
 from heatheryoke.core.effects import Count, Effect, SendPeer
-from heatheryoke.core.events import ForwardArrived
+from heatheryoke.core.events import ForwardArrived, PeerMessageArrived
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest
 from heatheryoke.core.stream_search import StreamSearch
 from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.model import Service
+from heatheryoke.inventory.model import Address, Service
 
 __all__ = ["StreamAgent"]
 
@@ -18,6 +19,10 @@
 ENTRY_S = 75.0
 # Entries dropped a tick, so that a tick stays short.
 EXPIRY_BATCH = 200
+# Balancers remembered: the fleet's size to design for.
+MAXIMUM_BALANCERS = 1_100
+# A balancer that was silent for so long may be gone: three of the longest paces of the watch.
+BALANCER_HEARD_S = 8.0
 # A stop waits so long for requests in progress: well within the platform's grace (6 s).
 STOP_LIMIT_S = 1.5
 
@@ -29,6 +34,7 @@
         super().__init__(*arguments, **options)
         self.directory = Directory(MAXIMUM_ENTRIES, ENTRY_S)
         self.has_asked_peers = False
+        self.balancers: OrderedDict[Address, float] = OrderedDict()
 
     def on_forward(self, event: ForwardArrived) -> list[Effect]:
         """Deliver a caller's packet if its flow is this host's, else find out whose it is."""
@@ -36,6 +42,7 @@
         if self.is_muted():
             return [*effects, Count("dropped_no_view")]
         message, now = event.message, event.now
+        self.note_balancer(message.via, now)
         head = self.codec.read_head(message.payload)
         owned = self.flows.flows.get(message.flow)
         if owned is not None and not owned.contradicts(head):
@@ -70,6 +77,25 @@
         homes = self.topology.homes(message.flow)
         return self.pass_on(message, homes[0]) if homes else [Count("dropped_no_host")]
 
+    def note_balancer(self, via: Address, now: float) -> None:
+        """Note that a balancer is at work."""
+        if via.port:
+            self.balancers[via] = now
+            self.balancers.move_to_end(via)
+            if len(self.balancers) > MAXIMUM_BALANCERS:
+                self.balancers.popitem(last=False)
+
+    def on_view_news(self, event: PeerMessageArrived) -> list[Effect]:
+        """Take what another process has read; who is no agent is a balancer."""
+        if all(host.address != event.sender for host in self.topology.document.hosts):
+            self.note_balancer(event.sender, event.now)
+        return super().on_view_news(event)
+
+    def news_readers(self, now: float) -> list[Address]:
+        """Return the addresses of the other agents and of the balancers heard of lately."""
+        heard = [via for via, at in self.balancers.items() if now - at < BALANCER_HEARD_S]
+        return [*super().news_readers(now), *heard]
+
     def is_hurried(self) -> bool:
         """Tell whether this process's view lacks its own upstream."""
         return self.topology is not None and self.host_name not in self.topology.hosts
--- a/src/heatheryoke/core/stream_balancer.py
+++ b/src/heatheryoke/core/stream_balancer.py
@@ -20,6 +20,8 @@
 STOP_LINGER_S = 1.4
 # No packet for so long means that none is on its way here.
 STOP_QUIET_S = 0.5
+# Above the rank of every agent.
+BALANCER_RANK = 1 << 32
 # Within the platform's grace after SIGTERM (6 s).
 STOP_LIMIT_S = 4.0
 
@@ -73,6 +75,11 @@
             AnswerCaller(flow, self.codec.reset(flow, 0)),
         ]
 
+    @property
+    def rank(self) -> int:
+        """Any agent goes first: agents know every other process, balancers only the agents."""
+        return super().rank | BALANCER_RANK
+
     def on_topology(self, now: float) -> list[Effect]:
         """Keep the cache; each entry is checked when it is used."""
         return []
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -22,6 +22,7 @@
     SendForward,
     SendPeer,
     Stopped,
+    StoreNewsTaken,
 )
 from heatheryoke.core.events import (
     CallerPacket,
@@ -116,6 +117,7 @@
             Measure: self.measure,
             LogChange: self.log_change,
             LogFlow: self.log_flow,
+            StoreNewsTaken: lambda effect: self.watch.note_news(*effect),
             Stopped: self.note_stopped,
         }
 
@@ -239,13 +241,13 @@
         self.step(Tick(self.clock()))
         self.check_settings()
 
-    def on_items_read(self, items: tuple[StoreItem, ...]) -> None:
+    def on_items_read(self, items: tuple[StoreItem, ...], revision: int) -> None:
         """Take a whole reading of the store."""
-        self.step(StoreRead(self.clock(), items))
+        self.step(StoreRead(self.clock(), items, revision))
 
-    def on_items_changed(self, items: tuple[StoreItem, ...]) -> None:
+    def on_items_changed(self, items: tuple[StoreItem, ...], after: int, revision: int) -> None:
         """Take changes of the store."""
-        self.step(StoreChanged(self.clock(), items))
+        self.step(StoreChanged(self.clock(), items, after, revision))
 
     def on_store_unavailable(self, reason: str) -> None:
         """Note a failed call."""
--- a/src/heatheryoke/wire/peers.py
+++ b/src/heatheryoke/wire/peers.py
@@ -12,6 +12,7 @@
 
 import struct
 from collections.abc import Callable
+from math import isfinite
 from typing import Any, NamedTuple
 
 from heatheryoke.core.flows import FlowKey
@@ -23,8 +24,11 @@
     Registration,
     Registrations,
     RegistrationsAck,
+    ViewNews,
     Yield,
 )
+from heatheryoke.core.records import EndpointRecord, StoreItem, Subject
+from heatheryoke.inventory.model import Address
 from heatheryoke.wire.forward import decode_forward, encode_forward
 
 __all__ = ["PeerDatagram", "open_datagram", "seal_datagram"]
@@ -38,6 +42,11 @@
 RECOVERY = struct.Struct("!QI")
 ROW = struct.Struct("!13sIB")
 ANSWERED, CLOSED = 1, 2
+NEWS = struct.Struct("!QQQ")
+ITEM = struct.Struct("!BQB")
+ENDPOINT = struct.Struct("!HHBdQ")
+PRESENT, HAS_RECORD = 1, 2
+SUBJECTS = (Subject.ENDPOINT, Subject.WITHDRAWAL)
 
 
 class PeerDatagram(NamedTuple):
@@ -89,6 +98,49 @@
     return RecoveryRequest(_read_name(body, RECOVERY.size)[0], incarnation, question)
 
 
+def _encode_news(message: ViewNews) -> bytes:
+    parts = [NEWS.pack(message.rank, message.after, message.revision)]
+    for item in message.items:
+        record = item.record
+        flags = (PRESENT if item.present else 0) | (HAS_RECORD if record else 0)
+        head = ITEM.pack(SUBJECTS.index(item.subject), item.revision, flags)
+        parts += [head, _name(item.name)]
+        if isinstance(record, EndpointRecord):
+            parts += [_name(record.service), _name(record.address.ip)]
+            parts += [_name(record.failure_domain)]
+            numbers = (record.address.port, record.slots, record.is_draining)
+            parts.append(ENDPOINT.pack(*numbers, record.cold_s, record.born_ms))
+    return b"".join(parts)
+
+
+def _decode_news(body: bytes) -> ViewNews:
+    rank, after, revision = NEWS.unpack_from(body)
+    at, items = NEWS.size, []
+    while at < len(body):
+        subject, item_revision, flags = ITEM.unpack_from(body, at)
+        name, at = _read_name(body, at + ITEM.size)
+        record = None
+        if flags & HAS_RECORD:
+            record, at = _read_endpoint(body, at)
+        if subject >= len(SUBJECTS):
+            raise ValueError(f"unknown subject {subject}")
+        present = bool(flags & PRESENT)
+        items.append(StoreItem(SUBJECTS[subject], name, item_revision, present, record))
+    return ViewNews(rank, after, revision, tuple(items))
+
+
+def _read_endpoint(body: bytes, at: int) -> tuple[EndpointRecord, int]:
+    service, at = _read_name(body, at)
+    ip, at = _read_name(body, at)
+    domain, at = _read_name(body, at)
+    port, slots, is_draining, cold_s, born_ms = ENDPOINT.unpack_from(body, at)
+    if not isfinite(cold_s):
+        raise ValueError(f"cold for {cold_s} s")
+    address = Address(ip, port)
+    record = EndpointRecord(service, address, domain, slots, bool(is_draining), cold_s, born_ms)
+    return record, at + ENDPOINT.size
+
+
 def _decode_forward(body: bytes) -> Forward:
     message = decode_forward(body)
     if message is None:
@@ -115,6 +167,7 @@
     RecoveryRequest: Format(
         6, lambda m: RECOVERY.pack(m.incarnation, m.question) + _name(m.host), _decode_recovery
     ),
+    ViewNews: Format(7, _encode_news, _decode_news),
 }
 DECODERS = {row.kind: row.decode for row in FORMATS.values()}
 
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -25,8 +25,8 @@
         return StoreWatch(
             StoreClient(Address(HOST, port)),
             Backoff(lambda: 0.0),
-            self.readings.append,
-            self.changes.append,
+            lambda items, revision: self.readings.append(items),
+            lambda items, after, revision: self.changes.append(items),
             self.lost.append,
             self.unreadable.append,
             lambda: True,
@@ -88,7 +88,7 @@
         play(steps)
 
     def test_goes_on_after_a_call_that_is_never_answered(self, monkeypatch):
-        monkeypatch.setattr(store_watch, "WAIT_S", 0.2)
+        monkeypatch.setattr(store_watch, "READER_WAIT_SHARE", 0.05)
         monkeypatch.setattr(store_watch, "WATCH_MARGIN_S", 0.2)
 
         async def steps(store, seen):
--- /dev/null
+++ b/tests/test_view_news.py
@@ -0,0 +1,218 @@
+"""One process reads the store, the others hear of it: their views are the same."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heatheryoke.core.effects import SendPeer, StoreNewsTaken
+from heatheryoke.core.events import PeerMessageArrived, StoreChanged, StoreRead
+from heatheryoke.core.messages import ViewNews
+from heatheryoke.core.records import (
+    ConfigurationRecord,
+    EndpointRecord,
+    ServiceRecord,
+    StoreItem,
+    Subject,
+)
+from heatheryoke.core.routes import Route, Share
+from heatheryoke.core.store_view import StoreView
+from heatheryoke.core.stream_agent import StreamAgent
+from heatheryoke.core.stream_balancer import StreamBalancer
+from heatheryoke.core.view_news import MAXIMUM_ITEMS, news_of
+from heatheryoke.daemons.store_watch import LEAST_GAP_S, StoreWatch
+from heatheryoke.inventory.model import Address
+from heatheryoke.platform.packets import PacketCodec
+from heatheryoke.wire.peers import open_datagram, seal_datagram
+
+NOW = 100.0
+PORT = 7_000
+BALANCER = Address("10.9.0.1", PORT)
+
+
+def endpoint(number, revision, **changes):
+    record = EndpointRecord("live", address_of(number), "north", 2, False, 0.0, 1_000 + number)
+    return StoreItem(Subject.ENDPOINT, f"i-{number}", revision, True, record._replace(**changes))
+
+
+def address_of(number):
+    return Address(f"10.1.0.{number}", 8_000)
+
+
+def configuration(version, revision):
+    route = Route("feed", Address("198.18.0.1", 443), (Share("live", 1.0),), True, 0.1, 1.5, 2)
+    record = ConfigurationRecord(version, (route,), (ServiceRecord("live", 9, 2.0, 0.0),), 15.0)
+    return StoreItem(Subject.CONFIGURATION, "", revision, True, record)
+
+
+FIRST = (configuration(1, 5), *(endpoint(number, number) for number in (1, 2, 3)))
+
+
+def agent(number, rank):
+    node = StreamAgent(
+        address_of(number).ip, rank, NOW, PacketCodec(), "live", address_of(number), peer_port=PORT
+    )
+    node.reduce(StoreRead(NOW, FIRST, 5))
+    return node
+
+
+def told(effects):
+    return [row for row in effects if isinstance(row, SendPeer) and type(row.message) is ViewNews]
+
+
+@st.composite
+def changes(draw):
+    """Return batches of items with rising revisions: entries that come, change, lapse and go."""
+    revision, batches = 5, []
+    for size in draw(st.lists(st.integers(0, 3), max_size=8)):
+        batch = []
+        for _ in range(size):
+            revision += draw(st.integers(1, 3))
+            number = draw(st.integers(1, 5))
+            kind = draw(st.sampled_from(("beat", "draining", "cold", "gone", "zone", "back")))
+            item = endpoint(number, revision)
+            if kind == "draining":
+                item = endpoint(number, revision, is_draining=True)
+            elif kind == "cold":
+                item = endpoint(number, revision, cold_s=draw(st.sampled_from((0.5, 2.0))))
+            elif kind == "gone":
+                item = item._replace(present=False, record=None)
+            elif kind in ("zone", "back"):
+                item = StoreItem(Subject.WITHDRAWAL, "north", revision, kind == "zone", None)
+            batch.append(item)
+        batches.append(tuple(batch))
+    return batches
+
+
+class TestNews:
+    @given(changes())
+    def test_who_is_told_believes_what_the_reader_believes(self, batches):
+        reader, listener = StoreView(PORT), StoreView(PORT)
+        for view in (reader, listener):
+            view.replace(FIRST, NOW)
+            view.note_whole(5)
+        for number, batch in enumerate(batches):
+            now, after = NOW + number, reader.whole_to
+            revision = batch[-1].revision if batch else after
+            news = news_of(reader, 7, after, revision, batch)
+            reader.apply(batch, now)
+            reader.note_whole(revision)
+            arrived = open_datagram(seal_datagram(1, news)).message
+            assert arrived == news
+            listener.apply(arrived.items, now)
+            listener.note_whole(arrived.revision)
+        assert listener.endpoints == reader.endpoints
+        assert listener.withdrawn == reader.withdrawn
+        assert listener.cold_until == reader.cold_until
+        assert listener.whole_to == reader.whole_to
+
+    def test_a_configuration_is_read_by_each_process_itself(self):
+        assert news_of(StoreView(PORT), 7, 5, 6, (configuration(2, 6),)) is None
+
+    def test_too_much_news_is_read_by_each_process_itself(self):
+        many = tuple(endpoint(number, number + 9) for number in range(MAXIMUM_ITEMS + 1))
+        assert news_of(StoreView(PORT), 7, 5, 99, many) is None
+
+    def test_a_heartbeat_is_no_news(self):
+        view = StoreView(PORT)
+        view.replace(FIRST, NOW)
+        assert news_of(view, 7, 5, 9, (endpoint(1, 9),)).items == ()
+
+
+class TestTelling:
+    def test_a_reader_tells_every_agent_and_the_balancers_heard_of(self):
+        node = agent(1, 7)
+        quiet = ViewNews(1 << 32, 5, 5, ())
+        node.reduce(PeerMessageArrived(NOW, BALANCER, 1, quiet))
+        sent = told(node.reduce(StoreChanged(NOW, (), 5, 5)))
+        others = {Address(address_of(number).ip, PORT) for number in (2, 3)}
+        assert {row.to for row in sent} == {*others, BALANCER}
+
+    def test_what_is_told_is_not_told_on(self):
+        news = ViewNews(7, 5, 6, (endpoint(2, 6, is_draining=True),))
+        effects = agent(1, 9).reduce(PeerMessageArrived(NOW, BALANCER, 1, news))
+        assert StoreNewsTaken(6, True) in effects
+        assert told(effects) == []
+
+    def test_news_after_a_gap_is_refused(self):
+        node = agent(1, 9)
+        news = ViewNews(7, 8, 9, (endpoint(2, 9, is_draining=True),))
+        effects = node.reduce(PeerMessageArrived(NOW, BALANCER, 1, news))
+        assert not any(isinstance(row, StoreNewsTaken) for row in effects)
+        assert not node.view.endpoints["i-2"].is_draining
+
+    def test_any_agent_goes_before_any_balancer(self):
+        balancer = StreamBalancer("edge", 1, PacketCodec(), address=BALANCER, peer_port=PORT)
+        assert agent(1, 0xFFFFFFFF).rank < balancer.rank
+
+
+class FakeClient:
+    """Counts calls, each of which is answered at once."""
+
+    def __init__(self):
+        self.waits = []
+
+    async def read_range(self, prefix, after, timeout_s):
+        return self
+
+    async def watch(self, prefix, after, wait_s, timeout_s):
+        self.waits.append(wait_s)
+        await asyncio.sleep(min(wait_s, 0.02))
+        return self
+
+    items, problems, revision, last_key, has_more = (), (), 5, "", False
+
+
+def play(steps, within_s=3.0):
+    """Run a watch beside `steps`; return how long each of its calls was to wait."""
+
+    async def run():
+        client = FakeClient()
+        watch = StoreWatch(
+            client,
+            None,
+            lambda *reading: None,
+            lambda *reading: None,
+            lambda reason: None,
+            lambda problem: None,
+            lambda: False,
+            within_s,
+            lambda: 0.0,
+        )
+        watch.backoff = type("Backoff", (), {"succeed": lambda self: None})()
+        task = asyncio.create_task(watch.run())
+        await steps(watch)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return client.waits
+
+    return asyncio.run(run())
+
+
+class TestWatching:
+    def test_who_hears_of_a_reader_makes_no_call(self):
+        async def steps(watch):
+            await asyncio.sleep(0.05)
+            for _ in range(12):
+                watch.note_news(5, True)
+                await asyncio.sleep(0.1)
+
+        assert len(play(steps)) <= 1
+
+    def test_who_hears_nothing_for_long_reads_at_once_and_goes_on(self):
+        async def steps(watch):
+            await asyncio.sleep(0.05)
+            watch.note_news(5, True)
+            await asyncio.sleep(0.6 + 2 * LEAST_GAP_S)
+
+        first, second, *_ = play(steps, within_s=1.0)
+        assert first == 0.0
+        assert second > 0.0
+
+    def test_a_reader_goes_on_when_a_later_one_tells_it(self):
+        async def steps(watch):
+            for _ in range(10):
+                await asyncio.sleep(0.1)
+                watch.note_news(5, False)
+
+        assert len(play(steps)) >= 3
