--- a/src/heatheryoke/cli.py
+++ b/src/heatheryoke/cli.py
@@ -292,6 +292,50 @@
     raise typer.Exit(asyncio.run(run_demo(DEPLOYMENTS[deployment], seed, console)))
 
 
+@app.command()
+def soak(
+    seed: Annotated[int, typer.Option(help="The same seed draws the same faults.")] = 1,
+    minutes: Annotated[float, typer.Option(help="How long faults are played.")] = 1.0,
+) -> None:
+    """Run a deployment of byte streams as processes, under faults; say what did not hold.
+
+    Example: heatheryoke soak --seed 7 --minutes 2
+    """
+    from heatheryoke.standins.soak import run_soak
+
+    result = run_soak(seed, 60 * minutes)
+    table = Table("outcome or fault", "count", title=f"soak with seed {seed}")
+    for name, count in sorted((result.outcomes + result.played).items()):
+        table.add_row(name, str(count))
+    console.print(table)
+    for problem in result.broken:
+        console.print(f"BROKEN {problem}", markup=False, highlight=False)
+    raise typer.Exit(EXIT_FAILED if result.broken else 0)
+
+
+@app.command()
+def rounds(
+    journal: Annotated[Path, typer.Argument(help="Folder of the bench's entries.")],
+    report: Annotated[Path | None, typer.Option(help="Folder for the page with plots.")] = None,
+) -> None:
+    """Show the worth of the users' standard days, round by round.
+
+    Example: heatheryoke rounds journal --report out
+    """
+    from heatheryoke.measure.rounds import read_rounds, write_rounds
+
+    found, problems = read_rounds(journal)
+    for problem in problems:
+        errors.print(f"left out: {problem}", markup=False)
+    table = Table("when", "deployment", "mean worth", "broken days", "why")
+    for row in found:
+        broken = ", ".join(row.broken) or "-"
+        table.add_row(row.at, row.deployment, f"{row.mean:.3f}", broken, row.why)
+    console.print(table)
+    if report is not None:
+        console.print(f"{write_rounds(found, report)}")
+
+
 @app.command()
 def measure(
     scenario: Annotated[str, typer.Argument(help="A scenario, see --list.")] = "steady",
--- /dev/null
+++ b/src/heatheryoke/measure/rounds.py
@@ -0,0 +1,77 @@
+"""The rounds of work on the users' deployments, from the bench's journal: worth of each day."""
+
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from typing import NamedTuple
+
+__all__ = ["Round", "read_rounds", "write_rounds"]
+
+SCORE = "score"
+
+
+class Round(NamedTuple):
+    """One score of one deployment: worth by day, and the days whose rules were broken."""
+
+    deployment: str
+    at: str
+    why: str
+    worth: dict[str, float]
+    broken: tuple[str, ...]
+
+    @property
+    def mean(self) -> float:
+        """The mean worth of the standard days."""
+        return sum(self.worth.values()) / len(self.worth)
+
+
+def read_rounds(journal: Path) -> tuple[list[Round], list[str]]:
+    """Return the scores in a journal by time, and the entries that cannot be read."""
+    rounds, problems = [], []
+    for path in sorted(journal.glob("*.json")):
+        try:
+            entry = json.loads(path.read_text(encoding="utf-8"))
+            if entry["cmd"] == SCORE and entry["days"]:
+                rounds.append(_round(entry))
+        except (OSError, ValueError, LookupError, TypeError) as error:
+            problems.append(f"{path.name}: {error!r}")
+    return sorted(rounds, key=lambda row: row.at), problems
+
+
+def _round(entry: dict) -> Round:
+    days = [day for day in entry["days"] if day["slot"] != "fresh"]
+    return Round(
+        str(entry["site"]),
+        str(entry["at"][0]),
+        str(entry["why"]),
+        {str(day["name"]): float(day["G"]) for day in days if day["G"] is not None},
+        tuple(str(day["name"]) for day in days if day["rules"] or day["fault"]),
+    )
+
+
+def write_rounds(rounds: Iterable[Round], folder: Path) -> Path:
+    """Write `rounds.html`, one chart a deployment, and return its path; needs extra `report`."""
+    import plotly.graph_objects as graphs
+
+    folder.mkdir(parents=True, exist_ok=True)
+    rounds = list(rounds)
+    parts = ["<h1>Worth of the standard days, round by round</h1>"]
+    parts.append("<p>Hollow: a rule was broken on that day, which then counts nothing.</p>")
+    for deployment in sorted({row.deployment for row in rounds}):
+        chosen = [row for row in rounds if row.deployment == deployment]
+        figure = graphs.Figure(layout={"title": deployment, "height": 480})
+        for day in sorted({name for row in chosen for name in row.worth}):
+            played = [row for row in chosen if day in row.worth]
+            symbols = ["circle-open" if day in row.broken else "circle" for row in played]
+            figure.add_scatter(
+                x=[row.at for row in played],
+                y=[row.worth[day] for row in played],
+                text=[row.why for row in played],
+                name=day,
+                mode="lines+markers",
+                marker={"symbol": symbols},
+            )
+        parts.append(figure.to_html(full_html=False, include_plotlyjs=not parts[2:]))
+    path = folder / "rounds.html"
+    path.write_text("\n".join(parts), encoding="utf-8")
+    return path
--- /dev/null
+++ b/src/heatheryoke/standins/process_site.py
@@ -0,0 +1,116 @@
+"""A deployment of byte streams whose balancers and agents are processes of their own."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections import deque
+from pathlib import Path
+
+from heatheryoke.daemons.stream_settings import STREAM_SETTINGS
+from heatheryoke.inventory.model import Address
+from heatheryoke.standins.stream_site import StreamHost, StreamSite
+
+__all__ = ["ProcessStreamSite"]
+
+ROLE_MODULE = "heatheryoke.daemons.stream_role"
+LOG_LINE_BYTES = 256 * 1024
+# Log lines kept of each process, to be shown with a broken rule.
+KEPT_LINES = 400
+STOP_TIMEOUT_S = 8.0
+
+
+def setting_text(value) -> str:
+    """Return a setting's value as the settings file has it."""
+    if isinstance(value, tuple) and not isinstance(value, Address):
+        return ",".join(str(item) for item in value)
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+class ProcessStreamSite(StreamSite):
+    """Ends only the processes that it started; reads what each of them logs."""
+
+    def __init__(self, seed: int):
+        super().__init__(seed)
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.readers: dict[str, asyncio.Task[None]] = {}
+        self.logs: dict[str, deque[str]] = {}
+        self.faults: list[str] = []
+        self.own_ends: list[str] = []
+
+    def write_settings(self, host: StreamHost) -> Path:
+        """Write the settings file of a host's process."""
+        settings = self.settings(host)
+        sections: dict[str, list[str]] = {}
+        for row in STREAM_SETTINGS:
+            value = getattr(settings, row.field)
+            if host.role in row.roles and value is not None:
+                scaled = value * 1000 if row.key.endswith("_ms") else value
+                line = f"{row.key} = {setting_text(scaled)}"
+                sections.setdefault(row.section, []).append(line)
+        path = Path(self.folder.name) / f"{host.name}.ini"
+        text = "\n".join("\n".join([f"[{name}]", *rows]) for name, rows in sections.items())
+        path.write_text(text)
+        return path
+
+    async def start_process(self, host: StreamHost) -> None:
+        """Start a host's process."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            ROLE_MODULE,
+            host.role.value,
+            str(self.write_settings(host)),
+            stdout=asyncio.subprocess.PIPE,
+            limit=LOG_LINE_BYTES,
+        )
+        self.processes[host.name] = process
+        self.logs.setdefault(host.name, deque(maxlen=KEPT_LINES))
+        reader = asyncio.get_running_loop().create_task(self.read_log(host.name, process))
+        self.readers[host.name] = reader
+
+    async def read_log(self, name: str, process: asyncio.subprocess.Process) -> None:
+        """Keep a process's newest log lines; note its faults, and an end that nobody asked for."""
+        while line := await process.stdout.readline():
+            text = line.decode(errors="replace").rstrip()
+            self.logs[name].append(text)
+            if json.loads(text).get("event") == "fault":
+                self.faults.append(f"{name}: {text}")
+        code = await process.wait()
+        if self.processes.get(name) is process:
+            self.own_ends.append(f"{name} ended with {code}")
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this site has started."""
+        os.kill(self.processes[name].pid, number)
+
+    async def end(self, name: str, number: signal.Signals) -> None:
+        """Signal a process and wait until it has ended."""
+        process = self.processes.pop(name)
+        process.send_signal(number)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await process.wait()
+        except TimeoutError:
+            self.own_ends.append(f"{name} did not stop within {STOP_TIMEOUT_S:g} s")
+            process.kill()
+            await process.wait()
+
+    async def stop_process(self, name: str) -> None:
+        """Stop a process gracefully."""
+        await self.end(name, signal.SIGTERM)
+
+    async def kill_process(self, name: str) -> None:
+        """End a process at once."""
+        await self.end(name, signal.SIGKILL)
+
+    async def close(self) -> None:
+        """End everything."""
+        for name in list(self.processes):
+            await self.kill_process(name)
+        await asyncio.gather(*self.readers.values(), return_exceptions=True)
+        await super().close()
+        self.folder.cleanup()
--- /dev/null
+++ b/src/heatheryoke/standins/soak.py
@@ -0,0 +1,306 @@
+"""A soak: callers use a deployment of real processes while faults, drawn by a seed, overlap.
+
+What must hold is judged by what callers and upstreams see. A bound on time holds only in calm: the
+store and all processes have been undisturbed for `CONTACT_S`, as the platform's rules have it.
+"""
+
+import asyncio
+import random
+import signal
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from math import inf
+from typing import NamedTuple
+
+from heatheryoke.inventory.model import Role
+from heatheryoke.standins.process_site import ProcessStreamSite
+from heatheryoke.standins.stream_caller import Outcome, StreamCaller, StreamFlow
+from heatheryoke.standins.stream_site import CHANGE_WITHIN_S, FEEDS, SHEETS, StreamHost
+
+__all__ = ["FAULTS", "Soak", "SoakResult", "run_soak"]
+
+FEED_CALLERS = 16
+SHEET_CALLERS = 6
+ASK_EVERY_S = 0.25
+TIMEOUT_S = 6.0
+# The platform's rules bind a process that was undisturbed for so long.
+CONTACT_S = 4.0
+# After the last fault all must be well within so long (the platform's `recoveryS`).
+RECOVERY_S = 12.0
+PAUSE_S = (0.3, 3.0)
+LASTING_S = (1.0, 5.0)
+
+
+class Fault(NamedTuple):
+    """One kind of fault; planned work excuses nothing."""
+
+    is_planned: bool
+    play: Callable[["Soak"], AsyncIterator[None]]
+
+
+class SoakResult(NamedTuple):
+    """What a soak has seen: outcomes of requests, faults played, and rules broken."""
+
+    outcomes: Counter[str]
+    played: Counter[str]
+    broken: list[str]
+
+
+class Soak:
+    """Callers, faults and the judgement of what was seen."""
+
+    def __init__(self, seed: int):
+        self.random = random.Random(seed)
+        self.site = ProcessStreamSite(seed)
+        self.outcomes: Counter[str] = Counter()
+        self.played: Counter[str] = Counter()
+        self.broken: list[str] = []
+        self.disturbed = 0
+        self.calm_since = inf
+        self.busy: set[str] = set()
+        self.is_over = False
+        self.changing = asyncio.Lock()
+        self.began = 0.0
+
+    def now(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    def is_calm(self, since: float) -> bool:
+        """Tell whether nothing unplanned has happened from `CONTACT_S` before `since` on."""
+        return not self.disturbed and self.calm_since + CONTACT_S <= since
+
+    def note(self, problem: str) -> None:
+        """Note a broken rule."""
+        self.broken.append(f"{self.now() - self.began:.1f} s: {problem}")
+
+    # Callers
+
+    async def ask_often(self, caller: StreamCaller) -> None:
+        """Ask again and again on one long flow; one that breaks in calm is a broken rule."""
+        flow, upstreams = None, {}
+        while not self.is_over:
+            if flow is None:
+                flow = caller.flow(self.site.service_address(FEEDS))
+                upstreams = dict(self.site.upstreams)
+            asked = self.now()
+            was_open = flow.is_open
+            outcome = await flow.ask(TIMEOUT_S)
+            self.outcomes[f"feed {outcome.value}"] += 1
+            self.judge(flow, outcome, asked, was_open, upstreams)
+            if outcome is not Outcome.SERVED:
+                flow = None
+            await asyncio.sleep(ASK_EVERY_S * (0.5 + self.random.random()))
+
+    def judge(
+        self, flow: StreamFlow, outcome: Outcome, asked: float, was_open: bool, upstreams: dict
+    ) -> None:
+        """Note what may never happen to a flow, and what may not in calm."""
+        if outcome is Outcome.MIXED:
+            self.note("a caller got another's answer")
+        if outcome is Outcome.SERVED or not was_open or not self.is_calm(asked):
+            return
+        holders = [row for row in self.site.upstreams.values() if flow.key in row.connections]
+        if holders and holders[0] in upstreams.values():
+            self.note(f"a flow was {outcome.value} though {holders[0].name} holds it")
+
+    async def fetch_often(self, caller: StreamCaller) -> None:
+        """Open a flow for each request."""
+        while not self.is_over:
+            flow = caller.flow(self.site.service_address(SHEETS))
+            outcome = await flow.ask(TIMEOUT_S)
+            self.outcomes[f"sheet {outcome.value}"] += 1
+            self.judge(flow, outcome, self.now(), False, {})
+            flow.close()
+            await asyncio.sleep(ASK_EVERY_S * (0.5 + self.random.random()))
+
+    # Faults
+
+    def pick(self, role: Role) -> StreamHost:
+        """Return a host whose process or upstream no fault has in hand."""
+        hosts = [host for host in self.site.hosts.values() if host.role is role]
+        free = [host for host in hosts if host.name not in self.busy]
+        return self.random.choice(free or hosts)
+
+    async def play_fault(self) -> None:
+        """Play one fault from its beginning to its end."""
+        kind = self.random.choice(sorted(FAULTS))
+        fault = FAULTS[kind]
+        self.played[kind] += 1
+        self.disturbed += not fault.is_planned
+        try:
+            await fault.play(self)
+        finally:
+            self.disturbed -= not fault.is_planned
+            if not fault.is_planned:
+                self.calm_since = self.now()
+
+    async def disturb(self, seconds: float) -> None:
+        """Play faults, in series and overlapping, for a time."""
+        ends = self.now() + seconds
+        running: set[asyncio.Task[None]] = set()
+        while self.now() < ends:
+            running.add(asyncio.get_running_loop().create_task(self.play_fault()))
+            await asyncio.sleep(self.random.choice((0.1, 1.0, 3.0, CONTACT_S + 6.0)))
+        await asyncio.gather(*running)
+
+    @asynccontextmanager
+    async def in_hand(self, role: Role) -> AsyncIterator[StreamHost]:
+        """Pick a host and keep other faults off it."""
+        host = self.pick(role)
+        while host.name in self.busy:
+            await asyncio.sleep(0.1)
+        self.busy.add(host.name)
+        try:
+            yield host
+        finally:
+            self.busy.discard(host.name)
+
+    async def restart(self, role: Role, number: signal.Signals) -> None:
+        """End a process and start it anew."""
+        async with self.in_hand(role) as host:
+            await self.site.end(host.name, number)
+            await asyncio.sleep(self.random.uniform(*PAUSE_S))
+            await self.site.start_process(host)
+            await asyncio.sleep(1.0)
+
+    async def pause(self, role: Role) -> None:
+        """Stop a process and let it go on."""
+        async with self.in_hand(role) as host:
+            self.site.send_signal(host.name, signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(*LASTING_S))
+            self.site.send_signal(host.name, signal.SIGCONT)
+
+    async def kill_all(self) -> None:
+        """Kill every process at once."""
+        names = [name for name in self.site.processes if name not in self.busy]
+        self.busy.update(names)
+        await asyncio.gather(*(self.site.kill_process(name) for name in names))
+        await asyncio.sleep(self.random.uniform(*PAUSE_S))
+        for name in names:
+            await self.site.start_process(self.site.hosts[name])
+        self.busy.difference_update(names)
+
+    async def replace_upstream(self) -> None:
+        """Let an upstream crash and another one start at its address."""
+        async with self.in_hand(Role.AGENT) as host:
+            await self.site.upstreams[host.name].close()
+            await asyncio.sleep(self.random.uniform(*PAUSE_S))
+            await self.site.start_upstream(host)
+
+    async def drain_upstream(self) -> None:
+        """Let an upstream report that it leaves, watch what it gets, and take it back."""
+        async with self.in_hand(Role.AGENT) as host:
+            upstream = self.site.upstreams[host.name]
+            upstream.set_state("draining")
+            await self.expect_none("a draining upstream", lambda: upstream.opened)
+            upstream.set_state("ready")
+
+    async def withdraw_domain(self) -> None:
+        """Withdraw a failure domain, watch what its upstreams get, and take it back."""
+        domain = self.random.choice(sorted({host.failure_domain for host in self.agents()}))
+        async with self.changing:
+            self.site.store.put(f"op/evacuate/{domain}", {})
+            rows = [row for row in self.site.upstreams.values() if row.domain == domain]
+            await self.expect_none("a withdrawn domain", lambda: sum(row.opened for row in rows))
+            self.site.store.delete(f"op/evacuate/{domain}")
+
+    async def remove_route(self) -> None:
+        """Remove a route, watch what its service gets, and put it back."""
+        async with self.changing:
+            self.site.publish(without=SHEETS)
+            rows = [row for row in self.site.upstreams.values() if row.service == SHEETS]
+            await self.expect_none("a removed route", lambda: sum(row.opened for row in rows))
+            self.site.publish()
+
+    async def expect_none(self, where: str, opened: Callable[[], int]) -> None:
+        """Note new flows that come later than the bound, if all was calm."""
+        began = self.now()
+        await asyncio.sleep(CHANGE_WITHIN_S)
+        before = opened()
+        await asyncio.sleep(1.0)
+        if self.is_calm(began) and opened() > before:
+            self.note(f"{opened() - before} new flows at {where}")
+
+    async def trouble_store(self, name: str, value: object, normal: object) -> None:
+        """Change how the store behaves, for a time."""
+        setattr(self.site.store, name, value)
+        self.site.store.wake()
+        await asyncio.sleep(self.random.uniform(*LASTING_S))
+        setattr(self.site.store, name, normal)
+
+    async def forget_history(self) -> None:
+        """Let the store forget its history."""
+        self.site.store.forget_history()
+
+    def agents(self) -> list[StreamHost]:
+        """Return the hosts with an upstream."""
+        return [host for host in self.site.hosts.values() if host.role is Role.AGENT]
+
+    # The whole
+
+    async def run(self, seconds: float) -> SoakResult:
+        """Start all, disturb it, let it recover, and say what was seen."""
+        self.began = self.now()
+        loop = asyncio.get_running_loop()
+        try:
+            await self.site.start()
+            self.calm_since = self.now()
+            plays = [(FEED_CALLERS, self.ask_often), (SHEET_CALLERS, self.fetch_often)]
+            callers = [
+                loop.create_task(play(await self.site.add_caller()))
+                for count, play in plays
+                for _ in range(count)
+            ]
+            await self.disturb(seconds)
+            await asyncio.sleep(RECOVERY_S)
+            await self.expect_service()
+            self.is_over = True
+            await asyncio.gather(*callers)
+            self.look_at_processes()
+        finally:
+            await self.site.close()
+        return SoakResult(self.outcomes, self.played, self.broken)
+
+    async def expect_service(self) -> None:
+        """Note a service that does not answer new flows after the recovery."""
+        for service in (FEEDS, SHEETS):
+            caller = await self.site.add_caller()
+            flows = [caller.flow(self.site.service_address(service)) for _ in range(8)]
+            outcomes = await asyncio.gather(*(flow.ask(TIMEOUT_S) for flow in flows))
+            bad = [outcome.value for outcome in outcomes if outcome is not Outcome.SERVED]
+            if bad:
+                self.note(f"{service} after the recovery: {bad}")
+
+    def look_at_processes(self) -> None:
+        """Note faults, ends that nobody asked for, and packets that were altered."""
+        self.broken += self.site.faults + self.site.own_ends
+        altered = sum(row.altered for row in self.site.upstreams.values())
+        altered += sum(caller.altered for caller in self.site.callers)
+        if altered:
+            self.note(f"{altered} packets altered")
+
+
+FAULTS: dict[str, Fault] = {
+    "balancer killed": Fault(False, lambda soak: soak.restart(Role.BALANCER, signal.SIGKILL)),
+    "balancer stopped": Fault(True, lambda soak: soak.restart(Role.BALANCER, signal.SIGTERM)),
+    "balancer paused": Fault(False, lambda soak: soak.pause(Role.BALANCER)),
+    "agent killed": Fault(False, lambda soak: soak.restart(Role.AGENT, signal.SIGKILL)),
+    "agent stopped": Fault(False, lambda soak: soak.restart(Role.AGENT, signal.SIGTERM)),
+    "agent paused": Fault(False, lambda soak: soak.pause(Role.AGENT)),
+    "all killed": Fault(False, Soak.kill_all),
+    "upstream replaced": Fault(False, Soak.replace_upstream),
+    "upstream drained": Fault(True, Soak.drain_upstream),
+    "domain withdrawn": Fault(True, Soak.withdraw_domain),
+    "route removed": Fault(True, Soak.remove_route),
+    "store down": Fault(False, lambda soak: soak.trouble_store("is_down", True, False)),
+    "store slow": Fault(False, lambda soak: soak.trouble_store("delay_s", 0.4, 0.0)),
+    "store silent": Fault(False, lambda soak: soak.trouble_store("delay_s", 60.0, 0.0)),
+    "store compacted": Fault(True, Soak.forget_history),
+}
+
+
+def run_soak(seed: int, seconds: float) -> SoakResult:
+    """Run one soak; the same seed draws the same faults, though not the same timing."""
+    return asyncio.run(Soak(seed).run(seconds))
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,79 @@
+"""A short soak with real processes, and the soaks that once broke a rule."""
+
+import asyncio
+
+import pytest
+
+from heatheryoke.standins import soak as soak_module
+from heatheryoke.standins.soak import Soak, run_soak
+from heatheryoke.standins.stream_caller import Outcome
+
+SHORT_S = 20.0
+# Seeds whose soak broke a rule before its cause was mended.
+REGRESSIONS: tuple[int, ...] = ()
+
+
+class TestSoak:
+    @pytest.mark.parametrize("seed", (1, *REGRESSIONS))
+    def test_keeps_every_rule(self, seed):
+        result = run_soak(seed, SHORT_S)
+        assert result.broken == []
+        assert result.outcomes["feed served"] > 100
+        assert sum(result.played.values()) > 3
+
+
+class Holder:
+    """An upstream that holds one flow."""
+
+    name = "i-1"
+
+    def __init__(self, key):
+        self.connections = {key: None}
+
+
+class Flow:
+    """A flow as the judgement sees it."""
+
+    key = b"flow"
+
+
+class TestJudgement:
+    """A soak that nothing can fail proves nothing."""
+
+    def judged(self, outcome, asked=50.0, was_open=True, disturbed=0, replaced=False):
+        soak = Soak(1)
+        soak.now = lambda: asked + 1.0
+        soak.calm_since, soak.disturbed = 40.0, disturbed
+        holder = Holder(Flow.key)
+        soak.site.upstreams["agent-1"] = holder
+        soak.judge(Flow, outcome, asked, was_open, {} if replaced else {"agent-1": holder})
+        soak.site.folder.cleanup()
+        return soak.broken
+
+    @pytest.mark.parametrize("outcome", (Outcome.RESET, Outcome.SILENT))
+    def test_a_flow_that_breaks_in_calm_is_a_broken_rule(self, outcome):
+        assert len(self.judged(outcome)) == 1
+
+    def test_an_answer_of_another_is_always_a_broken_rule(self):
+        assert len(self.judged(Outcome.MIXED, disturbed=1)) == 1
+
+    def test_what_breaks_beside_a_fault_or_soon_after_is_excused(self):
+        assert self.judged(Outcome.RESET, disturbed=1) == []
+        assert self.judged(Outcome.RESET, asked=43.0) == []
+
+    def test_a_flow_whose_upstream_was_replaced_is_excused(self):
+        assert self.judged(Outcome.RESET, replaced=True) == []
+
+    def test_new_flows_after_the_bound_are_a_broken_rule(self, monkeypatch):
+        monkeypatch.setattr(soak_module, "CHANGE_WITHIN_S", 0.0)
+
+        async def play(calm_since):
+            soak = Soak(1)
+            soak.calm_since = soak.now() - calm_since
+            counted = [5, 5, 3]
+            await soak.expect_none("a draining upstream", counted.pop)
+            soak.site.folder.cleanup()
+            return soak.broken
+
+        assert len(asyncio.run(play(calm_since=10.0))) == 1
+        assert asyncio.run(play(calm_since=1.0)) == []
