--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -326,7 +326,6 @@
     Hint
     | Registrations
     | RegistrationsAck
-    | ViewNews
     | Yield
     | RecoveryRequest
     | ViewNews
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -8,7 +8,7 @@
 import random
 import signal
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from math import inf
 from typing import NamedTuple
@@ -33,10 +33,10 @@
 
 
 class Fault(NamedTuple):
-    """One kind of fault; planned work excuses nothing."""
+    """One kind of fault; planned work excuses nothing that breaks beside it."""
 
     is_planned: bool
-    play: Callable[["Soak"], AsyncIterator[None]]
+    play: Callable[["Soak"], Awaitable[None]]
 
 
 class SoakResult(NamedTuple):
