Ask a fresh balancer for its configuration when it first answers

What it asserts is the same, and stricter in one way: the very first answer must name the current configuration.

--- a/features/processes.py
+++ b/features/processes.py
@@ -87,6 +87,13 @@
         except (aiohttp.ClientError, TimeoutError):
             return None
 
+    async def first_status(self, name: str) -> dict:
+        """Return what a process answers first; it may still be starting."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while (status := await self.status(name)) is None:
+                await asyncio.sleep(0.05)
+        return status
+
     async def wait_for_epoch(self, timeout_s: float = START_TIMEOUT_S) -> float:
         loop = asyncio.get_running_loop()
         began = loop.time()
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -89,7 +89,7 @@
 
 @then("{name} has the current configuration")
 def has_configuration(context, name):
-    status = run(context, context.site.status(name))
+    status = run(context, context.site.first_status(name))
     assert status["epoch"] == context.site.document.version, status["epoch"]
 
 
