Take no upstream whose entry could not be told to others

Cause: an entry of another writer with a number out of range (slots above 65,535, a start before 1970 or past 63 bits), a name of more than 255 bytes or with a lone surrogate was read as an upstream. Since one reader tells the others, packing it raised an error: the reader's effects of that event were lost and nobody heard of the change.

--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import json
-from math import isfinite
+from math import inf, isfinite
 from typing import Any
 
 from heatheryoke.core.records import (
@@ -24,6 +24,13 @@
 STATES = {"ready": False, "draining": True}
 IDEMPOTENT_KINDS = {"idempotent", "download"}
 LONGEST_REASON = 200
+# No name may be longer than a key of the store (its page), so that records can be told to others.
+LONGEST_NAME_BYTES = 200
+MAXIMUM_SLOTS = 65_535
+# Numbers that fit into 63 bits: revisions, and milliseconds of the Unix time.
+MAXIMUM_NUMBER = 2**63 - 1
+# The longest cold start that is believed: an hour.
+LONGEST_COLD_MS = 3_600_000
 UNREADABLE = (LookupError, TypeError, ValueError, AttributeError, RecursionError, binascii.Error)
 KINDS = IDEMPOTENT_KINDS | {"non_idempotent"}
 
@@ -38,7 +45,7 @@
     An unreadable upstream names none to use; an unreadable configuration is left out.
     """
     key, revision = raw.get("key"), raw.get("revision")
-    if not isinstance(key, str) or type(revision) is not int:
+    if not _is_name(key) or type(revision) is not int or not 0 <= revision <= MAXIMUM_NUMBER:
         return None, UnreadableItemError(f"item without key or revision: {str(raw)[:80]}")
     gone = bool(raw.get("tombstone"))
     if key.startswith(ENDPOINT_PREFIX):
@@ -66,15 +73,23 @@
         )
 
 
-def _number(value: Any) -> float:
+def _number(value: Any, least: float = -inf, most: float = inf) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
         raise UnreadableItemError(f"{value!r} is not a number")
+    if not least <= value <= most:
+        raise UnreadableItemError(f"{value!r} is not between {least} and {most}")
     return value
 
 
-def _text(value: Any) -> str:
+def _is_name(value: Any) -> bool:
     if not isinstance(value, str) or not value:
-        raise UnreadableItemError(f"{value!r} is not a text")
+        return False
+    return len(value.encode(errors="replace")) <= LONGEST_NAME_BYTES and value.isprintable()
+
+
+def _text(value: Any) -> str:
+    if not _is_name(value):
+        raise UnreadableItemError(f"{value!r} is not a name")
     return value
 
 
@@ -84,10 +99,12 @@
         _text(value["service"]),
         Address.parse(_text(value["address"])),
         _text(value["zone"]),
-        max(1, int(_number(value["concurrency"]))),  # slots: requests worked on at once
+        max(
+            1, int(_number(value["concurrency"], 0, MAXIMUM_SLOTS))
+        ),  # slots: requests worked on at once
         STATES[value["state"]],
-        _number(value.get("warmupLeftMs", 0)) / 1000,
-        int(_number(born)),
+        _number(value.get("warmupLeftMs", 0), 0, LONGEST_COLD_MS) / 1000,
+        int(_number(born, 0, MAXIMUM_NUMBER)),
     )
 
 
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -7,9 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from heatheryoke.core.messages import ViewNews
 from heatheryoke.core.records import Subject
 from heatheryoke.inventory.model import Address
 from heatheryoke.platform.items import UnreadableItemError, read_item
+from heatheryoke.wire.peers import open_datagram, seal_datagram
 
 ENDPOINT = {
     "service": "huvo11a",
@@ -100,6 +102,14 @@
             {"state": "resting"},
             {"address": "nowhere"},
             {"address": "10.1.0.300:80"},
+            {"address": "10.1.0.3:0"},
+            {"address": "10.1.0.3:70000"},
+            {"concurrency": 70_000},
+            {"born": -1},
+            {"born": 2**64},
+            {"warmupLeftMs": -1},
+            {"service": "s" * 300},
+            {"zone": "\ud800"},
             {"concurrency": "four"},
             {"service": None},
             {"born": True},
@@ -130,6 +140,17 @@
     def test_any_item_is_read_or_refused(self, raw):
         read_item(raw)
 
+    @given(
+        st.sampled_from(["servers/i-1", "servers/" + "i" * 190, "op/evacuate/north"]),
+        st.sampled_from(sorted(ENDPOINT)),
+        JSON | st.integers() | st.floats() | st.text(),
+        st.integers(1, 2**63 - 1),
+    )
+    def test_what_is_read_can_be_told_to_others(self, key, field, value, revision):
+        found, _ = read_item(item(key, ENDPOINT | {field: value}, revision))
+        news = ViewNews(1, 1, revision, (found,))
+        assert open_datagram(seal_datagram(1, news)).message == news
+
     @given(st.binary(max_size=60))
     def test_any_bytes_are_read_or_refused(self, data):
         for key in ("servers/i-1", "op/config"):
