--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -14,7 +14,6 @@
     AnswerCaller,
     CloseFlow,
     Count,
-    Deliver,
     DiscardQueued,
     LogChange,
     LogFlow,
@@ -25,7 +24,6 @@
     StoreNewsTaken,
 )
 from heatheryoke.core.events import (
-    CallerPacket,
     Event,
     ForwardArrived,
     PeerMessageArrived,
@@ -34,20 +32,18 @@
     StoreChanged,
     StoreRead,
     Tick,
-    UpstreamPacket,
 )
-from heatheryoke.core.flows import FlowKey, PacketKind, describe_flow, flow_tuple
-from heatheryoke.core.histograms import WAIT_BUCKETS_S, Histogram
+from heatheryoke.core.flows import FlowKey, flow_tuple
 from heatheryoke.core.messages import Forward
 from heatheryoke.core.records import StoreItem
 from heatheryoke.core.store_node import StoreNode
-from heatheryoke.core.stream_agent import StreamAgent
-from heatheryoke.core.stream_balancer import StreamBalancer
 from heatheryoke.daemons.datagrams import Datagram, DatagramPort
 from heatheryoke.daemons.http_server import HttpServer, Reply
 from heatheryoke.daemons.json_log import JsonLog
+from heatheryoke.daemons.settings_file import SettingsFile
 from heatheryoke.daemons.store_watch import StoreWatch
-from heatheryoke.daemons.stream_settings import StreamSettings, read_stream_settings
+from heatheryoke.daemons.stream_record import StreamRecord
+from heatheryoke.daemons.stream_settings import StreamSettings
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.items import UnreadableItemError
 from heatheryoke.platform.packets import PacketCodec, Side, check_packet, packet_flow
@@ -55,19 +51,14 @@
 from heatheryoke.platform.store import StoreClient
 from heatheryoke.wire.peers import open_datagram, seal_datagram
 
-__all__ = ["STREAM_APPLICATIONS", "StreamApplication", "run_role"]
+__all__ = ["StreamApplication"]
 
 # Each tick wakes the process, which is priced; registrations and expiry can wait so long.
 STREAM_TICK_S = 0.1
-# How often the settings file is looked at, which may change without a signal.
-SETTINGS_CHECK_S = 1.0
 # The pause before a watch that a defect has ended is begun anew.
 WATCH_RESTART_S = 1.0
 METRICS_PATH = "/metrics"
 RECEIVE_BUFFER_BYTES = 1024 * 1024
-# Histograms kept at once, each of a name, service and route; routes without requests have none.
-MAXIMUM_HISTOGRAMS = 600
-QUEUE_BUCKETS = (0.0, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0)
 
 
 def steady_clock() -> float:
@@ -76,21 +67,25 @@
 
 
 class StreamApplication(ABC):
-    """Owns a reducer's sockets and its watch of the store from `start` to `close`."""
+    """Owns a reducer's sockets and its watch of the store from `start` to `close`.
+
+    Packets arrive at `outer` from the side that the role serves, messages of others at `peers`.
+    """
 
     role: Role
+    side: Side
 
     def __init__(self, settings: StreamSettings, path: Path, log: JsonLog):
         self.settings = settings
-        self.path = path
         self.log = log
         self.clock = steady_clock
-        self.counters: dict[str, int] = {}
-        self.histograms: dict[tuple[str, str, str], Histogram] = {}
+        self.file = SettingsFile(path, self.role, self.clock())
+        self.record = StreamRecord(log)
         self.codec = PacketCodec()
         self.peer_address = Address(settings.ip, settings.peer_ports[0])
         self.node = self.make_node()
         self.peers: DatagramPort | None = None
+        self.outer: DatagramPort | None = None
         self.server = HttpServer({READY_PATH: self.on_ready, METRICS_PATH: self.on_metrics})
         self.watch = StoreWatch(
             StoreClient(settings.store),
@@ -105,18 +100,16 @@
         self.watching: asyncio.Task[None] | None = None
         self.ticker: asyncio.TimerHandle | None = None
         self.stopped = asyncio.Event()
-        self.settings_stamp = self.stamp_settings()
-        self.next_settings_check = self.clock() + SETTINGS_CHECK_S
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
             SendForward: self.send,
             SendPeer: self.send,
             AnswerCaller: self.answer_caller,
             CloseFlow: lambda effect: None,
             DiscardQueued: self.discard_queued,
-            Count: self.count,
-            Measure: self.measure,
-            LogChange: self.log_change,
-            LogFlow: self.log_flow,
+            Count: self.record.count,
+            Measure: self.record.measure,
+            LogChange: self.record.log_change,
+            LogFlow: self.record.log_flow,
             StoreNewsTaken: lambda effect: self.watch.note_news(*effect),
             Stopped: self.note_stopped,
         }
@@ -126,12 +119,16 @@
         """Return the reducer of this role."""
 
     @abstractmethod
-    def ports(self) -> list[DatagramPort]:
-        """Return the sockets that are open."""
+    def outer_address(self) -> Address:
+        """Return where packets arrive from the side that this role serves."""
 
     @abstractmethod
-    def answer_caller(self, effect: AnswerCaller) -> None:
-        """Send a packet to a flow's caller."""
+    def packet_event(self, now: float, flow: FlowKey, packet: bytes) -> Event:
+        """Return the event of a packet from that side."""
+
+    @abstractmethod
+    def use_settings(self, settings: StreamSettings) -> None:
+        """Tell the reducer what the settings say now."""
 
     # Life cycle
 
@@ -142,11 +139,12 @@
 
     async def start(self) -> None:
         """Open everything; an `OSError` tells that an address is taken."""
+        self.outer = self.open_port(self.outer_address(), self.on_outer_datagrams)
         self.peers = self.open_port(self.peer_address, self.on_peer_datagrams)
         await self.server.start(self.settings.status)
         self.start_watch()
         self.tick()
-        self.log.write("start", role=self.role.value, settings=str(self.path))
+        self.log.write("start", role=self.role.value, settings=str(self.file.path))
 
     def start_watch(self) -> None:
         """Begin to watch the store."""
@@ -157,8 +155,7 @@
         """Begin anew after a defect ended the watch; the view in force stays meanwhile."""
         if task.cancelled():
             return
-        self.add("faults")
-        self.log.write("fault", kind="StoreWatch", error=repr(task.exception()))
+        self.record.fault("StoreWatch", task.exception())
         asyncio.get_running_loop().call_later(WATCH_RESTART_S, self.start_watch)
 
     async def run(self) -> int:
@@ -185,11 +182,15 @@
         self.server.close()
         for port in self.ports():
             port.close()
-        self.log.write("stop", counters=self.counters)
+        self.log.write("stop", counters=self.record.counters)
+
+    def ports(self) -> list[DatagramPort]:
+        """Return the sockets that are open."""
+        return [port for port in (self.peers, self.outer) if port]
 
     def reload(self) -> None:
         """Read the settings file again; unusable settings change nothing."""
-        settings, problems = read_stream_settings(self.path, self.role)
+        settings, problems = self.file.read()
         if settings is None:
             self.log.write("reload refused", problems=[str(row) for row in problems])
             return
@@ -202,25 +203,9 @@
         self.log.write("reload", changed=changed)
         self.use_settings(settings)
 
-    @abstractmethod
-    def use_settings(self, settings: StreamSettings) -> None:
-        """Tell the reducer what the settings say now."""
-
-    def stamp_settings(self) -> int | None:
-        """Return when the settings file was last written, None if it cannot be told."""
-        try:
-            return self.path.stat().st_mtime_ns
-        except OSError:
-            return None
-
     def check_settings(self) -> None:
-        """Read the settings again if their file has changed."""
-        if self.clock() < self.next_settings_check:
-            return
-        self.next_settings_check = self.clock() + SETTINGS_CHECK_S
-        stamp = self.stamp_settings()
-        if stamp is not None and stamp != self.settings_stamp:
-            self.settings_stamp = stamp
+        """Read the settings again if their file was written."""
+        if self.file.has_changed(self.clock()):
             self.reload()
 
     # Events in
@@ -232,8 +217,7 @@
             for effect in self.node.reduce(event):
                 handlers[type(effect)](effect)
         except Exception as error:
-            self.add("faults")
-            self.log.write("fault", bounded=True, kind=type(event).__name__, error=repr(error))
+            self.record.fault(type(event).__name__, error, bounded=True)
 
     def tick(self) -> None:
         """Send a tick and plan the next."""
@@ -255,7 +239,7 @@
 
     def on_unreadable(self, problem: UnreadableItemError) -> None:
         """Log an item of the store that could not be read."""
-        self.add("unreadable_items")
+        self.record.add("unreadable_items")
         self.log.write("unreadable item", bounded=True, reason=str(problem))
 
     def on_peer_datagrams(self, batch: list[Datagram]) -> None:
@@ -264,22 +248,21 @@
         for data, sender in batch:
             datagram = open_datagram(data)
             if datagram is None or sender[1] != self.peer_address.port:
-                self.add("bad_peer_datagrams")
+                self.record.add("bad_peer_datagrams")
                 continue
             is_forward = isinstance(datagram.message, Forward)
             arrived = ForwardArrived if is_forward else PeerMessageArrived
             self.step(arrived(now, sender, datagram.epoch, datagram.message))
 
-    def checked(self, batch: list[Datagram], side: Side) -> list[tuple[FlowKey, bytes]]:
-        """Return the packets that `side` can have sent, with their flows; count the others."""
-        found: list[tuple[FlowKey, bytes]] = []
+    def on_outer_datagrams(self, batch: list[Datagram]) -> None:
+        """Take packets from the side that this role serves; count those it cannot have sent."""
+        now, side = self.clock(), self.side
         for data, _ in batch:
             problem = check_packet(data, side)
             if problem is None:
-                found.append((packet_flow(data, side), data))
+                self.step(self.packet_event(now, packet_flow(data, side), data))
             else:
-                self.add(f"bad_packets_{problem.value}")
-        return found
+                self.record.add(f"bad_packets_{problem.value}")
 
     def on_ready(self) -> Reply:
         """Tell whether callers' packets should come here."""
@@ -289,9 +272,7 @@
         """Return the metrics as text."""
         from heatheryoke.daemons.stream_metrics import exposition
 
-        return Reply(
-            200, exposition(self.node, self.counters, self.histograms), "text/plain; version=0.0.4"
-        )
+        return Reply(200, exposition(self.node, self.record), "text/plain; version=0.0.4")
 
     # Effects out
 
@@ -299,157 +280,16 @@
         """Send a message to another process."""
         self.peers.send(seal_datagram(self.node.epoch, effect.message), effect.to)
 
+    def answer_caller(self, effect: AnswerCaller) -> None:
+        """Send a packet to a flow's caller."""
+        caller = flow_tuple(effect.flow).source.ip
+        self.outer.send(effect.payload, (caller, self.settings.callers.port))
+
     def discard_queued(self, effect: DiscardQueued) -> None:
         """Empty every socket's queue."""
         for port in self.ports():
-            self.add("dropped_after_pause", port.discard_queued())
-
-    def count(self, effect: Count) -> None:
-        """Add to a counter."""
-        self.add(effect.name, effect.amount)
-
-    def add(self, name: str, amount: int = 1) -> None:
-        """Add to a counter by name."""
-        self.counters[name] = self.counters.get(name, 0) + amount
-
-    def measure(self, effect: Measure) -> None:
-        """Add a value to the histogram of a service and route."""
-        key = effect[:3]
-        found = self.histograms.get(key)
-        if found is None:
-            if len(self.histograms) >= MAXIMUM_HISTOGRAMS:
-                self.add("histograms_left_out")
-                return
-            buckets = QUEUE_BUCKETS if effect.name == "queue_at_arrival" else WAIT_BUCKETS_S
-            found = self.histograms[key] = Histogram(buckets)
-        found.add(effect.value)
-
-    def log_change(self, effect: LogChange) -> None:
-        """Log a change of what the process believes."""
-        self.log.write("change", subject=effect.subject, state=effect.state, reason=effect.reason)
-
-    def log_flow(self, effect: LogFlow) -> None:
-        """Log a decision on a flow."""
-        flow = describe_flow(effect.flow)
-        self.log.write(effect.decision, bounded=True, flow=flow, **dict(effect.facts))
+            self.record.add("dropped_after_pause", port.discard_queued())
 
     def note_stopped(self, effect: Stopped) -> None:
         """Let `run` end."""
         self.stopped.set()
-
-
-class StreamBalancerApplication(StreamApplication):
-    """A balancer's process."""
-
-    role = Role.BALANCER
-    callers: DatagramPort | None = None
-
-    def make_node(self) -> StreamBalancer:
-        """Return a balancer's reducer."""
-        return StreamBalancer(
-            self.settings.name,
-            time.time_ns(),
-            self.codec,
-            address=self.peer_address,
-            peer_port=self.peer_address.port,
-        )
-
-    def ports(self) -> list[DatagramPort]:
-        """Return the sockets that are open."""
-        return [port for port in (self.peers, self.callers) if port]
-
-    async def start(self) -> None:
-        """Open the callers' socket too."""
-        self.callers = self.open_port(self.settings.callers, self.on_caller_datagrams)
-        await super().start()
-
-    def on_caller_datagrams(self, batch: list[Datagram]) -> None:
-        """Take callers' packets."""
-        now = self.clock()
-        for flow, packet in self.checked(batch, Side.CALLER):
-            self.step(CallerPacket(now, flow, PacketKind.EITHER, packet))
-
-    def use_settings(self, settings: StreamSettings) -> None:
-        """Do nothing: no setting of a balancer may change while it runs."""
-
-    def answer_caller(self, effect: AnswerCaller) -> None:
-        """Send a packet to a flow's caller."""
-        caller = flow_tuple(effect.flow).source.ip
-        self.callers.send(effect.payload, (caller, self.settings.callers.port))
-
-
-class StreamAgentApplication(StreamApplication):
-    """An agent's process."""
-
-    role = Role.AGENT
-    answers: DatagramPort | None = None
-
-    def __init__(self, *arguments: Any):
-        super().__init__(*arguments)
-        self.effect_handlers[Deliver] = self.deliver
-
-    def make_node(self) -> StreamAgent:
-        """Return an agent's reducer."""
-        settings = self.settings
-        return StreamAgent(
-            settings.ip,
-            time.time_ns(),
-            self.clock(),
-            self.codec,
-            settings.service,
-            settings.upstream,
-            first_start=settings.first_start,
-            flow_lifetime_s=settings.flow_lifetime_s,
-            peer_port=self.peer_address.port,
-        )
-
-    def ports(self) -> list[DatagramPort]:
-        """Return the sockets that are open."""
-        return [port for port in (self.peers, self.answers) if port]
-
-    async def start(self) -> None:
-        """Open the upstream's socket too."""
-        self.answers = self.open_port(self.settings.answers, self.on_upstream_datagrams)
-        await super().start()
-
-    def on_upstream_datagrams(self, batch: list[Datagram]) -> None:
-        """Take the upstream's packets, and those that it returns."""
-        now = self.clock()
-        for flow, packet in self.checked(batch, Side.UPSTREAM):
-            self.step(UpstreamPacket(now, flow, packet))
-
-    def deliver(self, effect: Deliver) -> None:
-        """Hand a packet to the upstream."""
-        self.answers.send(effect.payload, self.settings.upstream)
-
-    def answer_caller(self, effect: AnswerCaller) -> None:
-        """Send a packet to a flow's caller."""
-        caller = flow_tuple(effect.flow).source.ip
-        self.answers.send(effect.payload, (caller, self.settings.callers.port))
-
-    def use_settings(self, settings: StreamSettings) -> None:
-        """Tell the reducer which service its upstream is of."""
-        self.node.service = settings.service
-        self.node.upstream = settings.upstream
-
-
-STREAM_APPLICATIONS: dict[Role, type[StreamApplication]] = {
-    Role.BALANCER: StreamBalancerApplication,
-    Role.AGENT: StreamAgentApplication,
-}
-
-
-def run_role(role: Role, path: Path) -> int | None:
-    """Run a role until it is stopped; return the exit code, None if its settings are unusable."""
-    settings, problems = read_stream_settings(path, role)
-    log = JsonLog(settings.name if settings else role.value)
-    if settings is None:
-        log.write("settings refused", problems=[str(problem) for problem in problems])
-        return None
-    return asyncio.run(_run(STREAM_APPLICATIONS[role], settings, path, log))
-
-
-async def _run(
-    kind: type[StreamApplication], settings: StreamSettings, path: Path, log: JsonLog
-) -> int:
-    return await kind(settings, path, log).run()
--- a/src/heatheryoke/daemons/stream_metrics.py
+++ b/src/heatheryoke/daemons/stream_metrics.py
@@ -11,13 +11,11 @@
 )
 from prometheus_client.registry import Collector
 
-from heatheryoke.core.histograms import Histogram
 from heatheryoke.core.store_node import StoreNode
 from heatheryoke.core.stream_agent import StreamAgent
+from heatheryoke.daemons.stream_record import StreamRecord
 
-__all__ = ["Histograms", "exposition"]
-
-Histograms = dict[tuple[str, str, str], Histogram]
+__all__ = ["exposition"]
 
 HELP = {
     "wait_seconds": "Time from a new flow's arrival at its agent to its first packet's delivery.",
@@ -27,17 +25,16 @@
 
 
 class NodeCollector(Collector):
-    """Reads a reducer, its counters and its histograms."""
+    """Reads a reducer and what its process records."""
 
-    def __init__(self, node: StoreNode, counters: dict[str, int], histograms: Histograms):
+    def __init__(self, node: StoreNode, record: StreamRecord):
         self.node = node
-        self.counters = counters
-        self.histograms = histograms
+        self.record = record
 
     def collect(self) -> Iterator[Metric]:
         """Return every metric."""
         events = CounterMetricFamily("heatheryoke_events", "Events by name.", labels=["event"])
-        for name, total in sorted(self.counters.items()):
+        for name, total in sorted(self.record.counters.items()):
             events.add_metric([name], total)
         yield events
         yield from self.gauges()
@@ -45,7 +42,7 @@
             family = HistogramMetricFamily(
                 f"heatheryoke_{name}", text, labels=["tenant", "request_class"]
             )
-            for key, row in sorted(self.histograms.items()):
+            for key, row in sorted(self.record.histograms.items()):
                 if key[0] == name:
                     family.add_metric(list(key[1:]), row.cumulative(), row.total)
             yield family
@@ -65,8 +62,8 @@
             yield GaugeMetricFamily(f"heatheryoke_{name}", text, value=value)
 
 
-def exposition(node: StoreNode, counters: dict[str, int], histograms: Histograms) -> bytes:
+def exposition(node: StoreNode, record: StreamRecord) -> bytes:
     """Return the text that Prometheus reads."""
     registry = CollectorRegistry()
-    registry.register(NodeCollector(node, counters, histograms))
+    registry.register(NodeCollector(node, record))
     return generate_latest(registry)
--- a/src/heatheryoke/daemons/stream_role.py
+++ b/src/heatheryoke/daemons/stream_role.py
@@ -20,7 +20,7 @@
     The file is the second argument, or the one that the platform names.
     """
     sys.modules.setdefault("ssl", None)  # asyncio then leaves TLS out, which nothing here speaks
-    from heatheryoke.daemons.stream_application import STREAM_APPLICATIONS, run_role
+    from heatheryoke.daemons.stream_roles import STREAM_APPLICATIONS, run_role
 
     roles = {role.value: role for role in STREAM_APPLICATIONS}
     if not arguments or arguments[0] not in roles:
--- a/src/heatheryoke/standins/stream_demo.py
+++ b/src/heatheryoke/standins/stream_demo.py
@@ -141,7 +141,8 @@
         broken = self.feeds[Outcome.RESET] + self.feeds[Outcome.SILENT]
         not_opened = outcomes[Outcome.NOT_OPENED] + self.sheets[Outcome.RESET]
         mixed = outcomes[Outcome.MIXED]
-        faults = sum(app.counters.get("faults", 0) for app in self.site.applications.values())
+        records = [app.record for app in self.site.applications.values()]
+        faults = sum(record.counters.get("faults", 0) for record in records)
         rows = (
             ("long flows broken", broken),
             ("flows not opened", not_opened),
--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -10,7 +10,8 @@
 
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.daemons.json_log import JsonLog
-from heatheryoke.daemons.stream_application import STREAM_APPLICATIONS, StreamApplication
+from heatheryoke.daemons.stream_application import StreamApplication
+from heatheryoke.daemons.stream_roles import STREAM_APPLICATIONS
 from heatheryoke.daemons.stream_settings import StreamSettings
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.process import READY_PATH
--- a/tests/test_stream_settings.py
+++ b/tests/test_stream_settings.py
@@ -7,7 +7,7 @@
 
 from heatheryoke.cli import app
 from heatheryoke.daemons.json_log import JsonLog
-from heatheryoke.daemons.stream_application import StreamAgentApplication
+from heatheryoke.daemons.stream_roles import StreamAgentApplication
 from heatheryoke.daemons.stream_settings import STREAM_SETTINGS, read_stream_settings
 from heatheryoke.inventory.model import Address, Role
 
@@ -107,7 +107,7 @@
         application = StreamAgentApplication(settings, path, JsonLog("a", descriptor=None))
         path.write_text(AGENT.replace("service = live", "service = print"))
         os.utime(path, ns=(1, 1))
-        application.next_settings_check = 0.0
+        application.file.next_check = 0.0
         application.check_settings()
         assert application.node.service == "print"
 
--- a/tests/test_stream_site.py
+++ b/tests/test_stream_site.py
@@ -61,7 +61,7 @@
                             caller.port.send(data, (host.ip, port))
                 await asyncio.sleep(0.3)
                 outcome = await caller.flow(site.service_address(FEEDS)).ask(5.0)
-                counters = [app.counters for app in site.applications.values()]
+                counters = [app.record.counters for app in site.applications.values()]
                 return outcome, counters, [row.altered for row in site.upstreams.values()]
             finally:
                 await site.close()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -41,7 +41,7 @@
 from heatheryoke.core.stream_agent import StreamAgent
 from heatheryoke.core.stream_balancer import StreamBalancer
 from heatheryoke.daemons.json_log import JsonLog
-from heatheryoke.daemons.stream_application import StreamAgentApplication
+from heatheryoke.daemons.stream_roles import StreamAgentApplication
 from heatheryoke.daemons.stream_settings import StreamSettings
 from heatheryoke.inventory.checks import short_id
 from heatheryoke.inventory.model import Address
