Run both demos, and write settings files for both kinds of processes, by one piece of code

The loop that shows a demo's progress, its table of promises and the settings as INI text stood twice each.

--- a/features/processes.py
+++ b/features/processes.py
@@ -10,21 +10,13 @@
 import aiohttp
 
 from heatheryoke.daemons.settings import SETTINGS
-from heatheryoke.inventory.model import Address, Host, Role
+from heatheryoke.inventory.model import Host, Role
+from heatheryoke.standins.settings_text import settings_text
 from heatheryoke.standins.site import Site
 
 START_TIMEOUT_S = 20.0
 
 
-def setting_text(value):
-    """Return a setting's value as an INI file has it."""
-    if isinstance(value, bytes):
-        return value.hex()
-    if isinstance(value, tuple) and not isinstance(value, Address):
-        return ", ".join(str(item) for item in value)
-    return value.isoformat() if hasattr(value, "isoformat") else str(value)
-
-
 class ProcessSite(Site):
     """Starts each host's process from a settings file, and ends only those it started."""
 
@@ -34,15 +26,8 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     def write_settings(self, host: Host) -> Path:
-        settings = self.settings(host)
-        sections: dict[str, list[str]] = {}
-        for row in SETTINGS:
-            value = getattr(settings, row.field)
-            if host.role in row.roles and value is not None:
-                line = f"{row.key} = {setting_text(value)}"
-                sections.setdefault(row.section, []).append(line)
+        text = settings_text(SETTINGS, self.settings(host), host.role)
         path = Path(self.folder.name) / f"{host.name}.ini"
-        text = "\n".join("\n".join([f"[{section}]", *lines]) for section, lines in sections.items())
         path.write_text(text)
         return path
 
--- a/src/heatheryoke/standins/demo.py
+++ b/src/heatheryoke/standins/demo.py
@@ -3,16 +3,15 @@
 import asyncio
 import logging
 from collections import Counter
-from typing import NamedTuple
 
 from rich.console import Console
-from rich.live import Live
 from rich.table import Table
 
 from heatheryoke.core.agent import Agent
 from heatheryoke.daemons.application import FAULT_COUNTER
 from heatheryoke.inventory.model import HostState, Role
 from heatheryoke.standins.caller import Caller, Reply
+from heatheryoke.standins.demo_run import Check, Demonstration, check_table, run_demonstration
 from heatheryoke.standins.deployments import Deployment
 from heatheryoke.standins.site import Site
 from heatheryoke.standins.upstream import UpstreamBehaviour
@@ -25,18 +24,9 @@
 STEP_S = 3.0
 WRITE_EVERY_S = 0.8
 SHEET_EVERY_S = 0.5
-EXIT_BROKEN = 1
 
 
-class Check(NamedTuple):
-    """One promise, with what was seen."""
-
-    promise: str
-    seen: str
-    kept: bool
-
-
-class Demo:
+class Demo(Demonstration):
     """Callers with standing feeds, writes and sheets, and the changes made meanwhile."""
 
     def __init__(self, deployment: Deployment, seed: int):
@@ -220,34 +210,19 @@
             table.add_row(name, *(str(counts[reply]) for reply in Reply))
         return table
 
-    def check_table(self, checks: list[Check]) -> Table:
-        """Return the promises, and the measures beside them."""
-        table = Table("promise or measure", "seen", "kept")
-        for check in checks:
-            table.add_row(check.promise, check.seen, "yes" if check.kept else "BROKEN")
+    def print_result(self, console: Console, checks: list[Check]) -> None:
+        """Print the requests, the promises, and the measures beside them."""
+        table = check_table("promise or measure", checks)
         table.add_row("feeds restarted in all", str(self.broken()), "")
         table.add_row("imbalance of flows (busiest / mean)", f"{self.imbalance:.2f}", "")
         everyone = self.replies([*self.feed_callers, *self.sheet_callers])
         kept = everyone[Reply.SERVED] / max(1, everyone.total())
         table.add_row("service kept (served / asked)", f"{kept:.3f}", "")
-        return table
+        console.print(self.service_table())
+        console.print(table)
 
 
 async def run_demo(deployment: Deployment, seed: int, console: Console) -> int:
     """Run the demo; return the exit code."""
     logging.getLogger("coap").setLevel(logging.CRITICAL)
-    demo = Demo(deployment, seed)
-    await demo.start()
-    try:
-        with Live(console=console, refresh_per_second=4, transient=True) as live:
-            changes = asyncio.get_running_loop().create_task(demo.run())
-            while not changes.done():
-                live.update(demo.progress())
-                await asyncio.wait([changes], timeout=0.25)
-            changes.result()
-        checks = demo.checks()
-        console.print(demo.service_table())
-        console.print(demo.check_table(checks))
-    finally:
-        await demo.close()
-    return 0 if all(check.kept for check in checks) else EXIT_BROKEN
+    return await run_demonstration(Demo(deployment, seed), console)
--- a/src/heatheryoke/standins/process_site.py
+++ b/src/heatheryoke/standins/process_site.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from heatheryoke.daemons.stream_settings import STREAM_SETTINGS
-from heatheryoke.inventory.model import Address
+from heatheryoke.standins.settings_text import settings_text
 from heatheryoke.standins.stream_site import StreamHost, StreamSite
 
 __all__ = ["ProcessStreamSite"]
@@ -22,13 +22,6 @@
 STOP_TIMEOUT_S = 8.0
 
 
-def setting_text(value) -> str:
-    """Return a setting's value as the settings file has it."""
-    if isinstance(value, tuple) and not isinstance(value, Address):
-        return ",".join(str(item) for item in value)
-    return str(value).lower() if isinstance(value, bool) else str(value)
-
-
 class ProcessStreamSite(StreamSite):
     """Ends only the processes that it started; reads what each of them logs."""
 
@@ -43,16 +36,8 @@
 
     def write_settings(self, host: StreamHost) -> Path:
         """Write the settings file of a host's process."""
-        settings = self.settings(host)
-        sections: dict[str, list[str]] = {}
-        for row in STREAM_SETTINGS:
-            value = getattr(settings, row.field)
-            if host.role in row.roles and value is not None:
-                scaled = value * 1000 if row.key.endswith("_ms") else value
-                line = f"{row.key} = {setting_text(scaled)}"
-                sections.setdefault(row.section, []).append(line)
+        text = settings_text(STREAM_SETTINGS, self.settings(host), host.role)
         path = Path(self.folder.name) / f"{host.name}.ini"
-        text = "\n".join("\n".join([f"[{name}]", *rows]) for name, rows in sections.items())
         path.write_text(text)
         return path
 
--- /dev/null
+++ b/src/heatheryoke/standins/settings_text.py
@@ -0,0 +1,33 @@
+"""Settings as the text of a file, for processes that a stand-in starts."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from heatheryoke.daemons.settings import Setting
+from heatheryoke.daemons.stream_settings import StreamSetting
+from heatheryoke.inventory.model import Address, Role
+
+__all__ = ["settings_text"]
+
+
+def settings_text(rows: Iterable[Setting | StreamSetting], settings: Any, role: Role) -> str:
+    """Return the file of a role's settings; what is None is left out."""
+    sections: dict[str, list[str]] = {}
+    for row in rows:
+        value = getattr(settings, row.field)
+        if role in row.roles and value is not None:
+            line = f"{row.key} = {_value_text(row.key, value)}"
+            sections.setdefault(row.section, []).append(line)
+    return "\n".join("\n".join([f"[{name}]", *lines]) for name, lines in sections.items())
+
+
+def _value_text(key: str, value: Any) -> str:
+    if key.endswith("_ms"):
+        return str(value * 1000)
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, bytes):
+        return value.hex()
+    if isinstance(value, tuple) and not isinstance(value, Address):
+        return ",".join(map(str, value))
+    return value.isoformat() if hasattr(value, "isoformat") else str(value)
--- a/src/heatheryoke/standins/stream_demo.py
+++ b/src/heatheryoke/standins/stream_demo.py
@@ -4,10 +4,8 @@
 from collections import Counter
 
 from rich.console import Console
-from rich.live import Live
-from rich.table import Table
 
-from heatheryoke.standins.demo import EXIT_BROKEN, Check
+from heatheryoke.standins.demo_run import Check, Demonstration, check_table, run_demonstration
 from heatheryoke.standins.stream_caller import Outcome, StreamFlow
 from heatheryoke.standins.stream_site import FEEDS, SHEETS, StreamSite
 
@@ -21,7 +19,7 @@
 LEAVE_S = 3.0
 
 
-class StreamDemo:
+class StreamDemo(Demonstration):
     """Callers with long flows and callers with a flow for each request."""
 
     def __init__(self, site: StreamSite):
@@ -159,24 +157,12 @@
         served = self.feeds[Outcome.SERVED], self.sheets[Outcome.SERVED]
         return f"{self.stage}: {served[0]} answers on long flows, {served[1]} on short ones"
 
+    def print_result(self, console: Console, checks: list[Check]) -> None:
+        """Print the requests and the promises."""
+        console.print(self.progress())
+        console.print(check_table("promise", checks))
+
 
 async def run_stream_demo(seed: int, console: Console) -> int:
     """Run the demo; return the exit code."""
-    demo = StreamDemo(StreamSite(seed))
-    await demo.start()
-    try:
-        with Live(console=console, refresh_per_second=4, transient=True) as live:
-            changes = asyncio.get_running_loop().create_task(demo.run())
-            while not changes.done():
-                live.update(demo.progress())
-                await asyncio.wait([changes], timeout=0.25)
-            changes.result()
-        checks = demo.checks()
-        table = Table("promise", "seen", "kept")
-        for check in checks:
-            table.add_row(check.promise, check.seen, "yes" if check.kept else "BROKEN")
-        console.print(demo.progress())
-        console.print(table)
-    finally:
-        await demo.close()
-    return 0 if all(check.kept for check in checks) else EXIT_BROKEN
+    return await run_demonstration(StreamDemo(StreamSite(seed)), console)
