--- a/src/heatheryoke/daemons/application.py
+++ b/src/heatheryoke/daemons/application.py
@@ -117,13 +117,21 @@
         merged = reactivex.merge(self.packets, self.timers, self.configurations)
         merged.subscribe(self.step)
         self.control = DatagramPort(
-            loop, self.settings.address, self.on_datagrams, buffer_bytes=RECEIVE_BUFFER_BYTES
+            loop,
+            self.settings.address,
+            self.on_datagrams,
+            failed=self.on_send_failed,
+            buffer_bytes=RECEIVE_BUFFER_BYTES,
         )
         await self.status.start(self.settings.status_address)
         self.platform.start()
         self.tick()
         logger.info("{} started", self.settings.name)
 
+    def on_send_failed(self) -> None:
+        """Count a datagram that a socket did not take."""
+        self.metrics.count("sends_failed", 1)
+
     def request_stop(self) -> None:
         """Begin a graceful stop; `stopped` is set at its end."""
         self.timers.on_next([StopRequested(self.clock())])
@@ -266,6 +274,7 @@
             asyncio.get_running_loop(),
             self.settings.fabric_listen,
             self.on_fabric_datagrams,
+            failed=self.on_send_failed,
             buffer_bytes=RECEIVE_BUFFER_BYTES,
         )
 
@@ -321,6 +330,7 @@
             asyncio.get_running_loop(),
             Address(self.settings.address.ip, 0),
             lambda batch: None,
+            failed=self.on_send_failed,
         )
         await super().start()
 
@@ -345,6 +355,7 @@
             lambda batch: self.on_upstream_datagrams(flow, batch),
             connect=effect.upstream,
             refused=lambda: self.packets.on_next([UpstreamGone(self.clock(), flow)]),
+            failed=self.on_send_failed,
         )
 
     def on_upstream_datagrams(self, flow: FlowKey, batch: list[Datagram]) -> None:
--- a/src/heatheryoke/daemons/datagrams.py
+++ b/src/heatheryoke/daemons/datagrams.py
@@ -17,7 +17,10 @@
 
 
 class DatagramPort:
-    """One UDP socket; `receive` gets what has arrived, `refused` is called when no peer listens."""
+    """One UDP socket; `receive` gets what has arrived.
+
+    `refused` is called when no peer listens, `failed` for a datagram that could not be sent.
+    """
 
     def __init__(
         self,
@@ -26,12 +29,13 @@
         receive: Receiver,
         connect: Address | None = None,
         refused: Callable[[], None] | None = None,
+        failed: Callable[[], None] | None = None,
         buffer_bytes: int = 0,
     ):
         self.loop = loop
         self.receive = receive
         self.refused = refused
-        self.send_failures = 0
+        self.failed = failed
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.setblocking(False)
         if buffer_bytes:
@@ -57,7 +61,7 @@
             self.socket.close()
 
     def send(self, data: bytes, to: Address | None = None) -> None:
-        """Send a datagram; one that the socket does not take is dropped and counted."""
+        """Send a datagram; one that the socket does not take is dropped and reported."""
         try:
             if to is None:
                 self.socket.send(data)
@@ -66,7 +70,8 @@
         except ConnectionRefusedError:
             self.notify_refused()
         except OSError:
-            self.send_failures += 1
+            if self.failed is not None:
+                self.failed()
 
     def read_batch(self) -> None:
         """Read what waits, up to a batch, so that timers are served in between."""
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -135,7 +135,13 @@
     def open_port(self, bind: Address, receive: Callable[[list[Datagram]], None]) -> DatagramPort:
         """Open a socket."""
         loop = asyncio.get_running_loop()
-        return DatagramPort(loop, bind, receive, buffer_bytes=RECEIVE_BUFFER_BYTES)
+        return DatagramPort(
+            loop,
+            bind,
+            receive,
+            failed=lambda: self.record.add("sends_failed"),
+            buffer_bytes=RECEIVE_BUFFER_BYTES,
+        )
 
     async def start(self) -> None:
         """Open everything; an `OSError` tells that an address is taken."""
