Ask hosts that the view lacks last, and call lost what none of them holds

A search asked all 53 hosts of the view and then could not call the flow lost, since one or two agents had announced themselves that the view lacks; so each packet of each flow asked everybody again until the callers gave up. Traced with extra log lines: 811 searches at their end, all with 53 of 53 asked, none settled by the view, each with 1 or 2 such agents; 8,800 offers an agent in 7 s, all returned by the upstreams. Change: those strangers are asked too, after all others; one that has nobody left to ask leaves the verdict to a home; that all hosts were asked is told by who they are, no longer by their number.

--- a/src/heatheryoke/core/effects.py
+++ b/src/heatheryoke/core/effects.py
@@ -18,6 +18,7 @@
     "LogChange",
     "LogFlow",
     "Measure",
+    "ProbeUpstream",
     "SendForward",
     "SendPeer",
     "Stopped",
@@ -120,6 +121,10 @@
     from_reader: bool
 
 
+class ProbeUpstream(NamedTuple):
+    """Find out whether the upstream's process runs, without a request."""
+
+
 class Stopped(NamedTuple):
     """A graceful stop is complete; the process may end."""
 
--- a/src/heatheryoke/core/events.py
+++ b/src/heatheryoke/core/events.py
@@ -74,6 +74,12 @@
     flow: FlowKey
 
 
+class UpstreamDown(NamedTuple):
+    """Nothing listens at the upstream's address: its process does not run."""
+
+    now: float
+
+
 class ConfigurationOffered(NamedTuple):
     """A document that was read from the platform and passed its checks."""
 
@@ -124,6 +130,7 @@
     | UpstreamPacket
     | FlowBound
     | UpstreamGone
+    | UpstreamDown
     | ConfigurationOffered
     | PlatformUnavailable
     | StoreRead
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -126,7 +126,7 @@
 
     def advance(self, now: float) -> list[Effect]:
         """Run what is due: expiry and registrations."""
-        effects = self.expire_ending(now)
+        effects = self.probe(now) + self.expire_ending(now)
         self.expire_openings(now)
         effects += self.serve_queue(now)
         effects += self.expire_flows(now)
--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -6,15 +6,24 @@
 
 from typing import Any
 
-from heatheryoke.core.effects import AnswerCaller, Count, Deliver, Effect, LogFlow, SendForward
-from heatheryoke.core.events import PeerMessageArrived, UpstreamPacket
+from heatheryoke.core.effects import (
+    AnswerCaller,
+    Count,
+    Deliver,
+    Effect,
+    LogChange,
+    LogFlow,
+    ProbeUpstream,
+    SendForward,
+)
+from heatheryoke.core.events import PeerMessageArrived, UpstreamDown, UpstreamPacket
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.forwarder import NO_ADDRESS
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest, Visit
 from heatheryoke.core.stream_admission import StreamAdmission
 from heatheryoke.core.streams import StreamHead
 from heatheryoke.inventory.checks import short_id
-from heatheryoke.inventory.model import Host
+from heatheryoke.inventory.model import Address, Host
 
 __all__ = ["StreamSearch"]
 
@@ -24,6 +33,8 @@
 MAXIMUM_ASKED = 80
 # Hosts remembered that have asked for their flows: the fleet's size to design for.
 MAXIMUM_HEARD_OF = 11_000
+# How often an agent looks whether its upstream runs (s): a few times within a recovery (12 s).
+PROBE_S = 1.0
 # Hosts that started within this time of each other have lost power together.
 TOGETHER_S = 8.0
 
@@ -35,8 +46,10 @@
         super().__init__(*arguments, **options)
         self.first_start = first_start
         self.unsure_until = self.started + (0.0 if first_start else self.flow_lifetime_s)
-        self.heard_of: set[str] = set()
+        self.heard_of: dict[str, Address] = {}
+        self.next_probe = self.started
         self.message_handlers[RecoveryRequest] = self.on_recovery_request
+        self.event_handlers[UpstreamDown] = self.on_upstream_down
 
     def seek(self, message: Forward, now: float) -> list[Effect]:
         """Pass on a packet of a flow that is not known here, until its owner gets it."""
@@ -54,15 +67,19 @@
             tried.add(self.own_id)
         following = self.next_to_ask(flow, tried, now)
         if following is not None:
-            return [SendForward(following.address, message)]
+            return [SendForward(following, message)]
+        if self.host_name not in self.topology.hosts:
+            homes = self.topology.homes(flow)
+            return [SendForward(home.address, message) for home in homes[:1]]
         if self.may_call_lost(message, now):
             return self.reset_lost(message, "no upstream holds the flow")
         return [Count("dropped_no_owner")]
 
-    def next_to_ask(self, flow: FlowKey, tried: set[int], now: float) -> Host | None:
-        """Return the next host that may know a flow: homes, former homes, then all by rank.
+    def next_to_ask(self, flow: FlowKey, tried: set[int], now: float) -> Address | None:
+        """Return where to ask next for a flow: homes, former homes, all by rank, then strangers.
 
-        Each host is asked once, and no more than `MAXIMUM_ASKED` are.
+        Each host is asked once, and no more than `MAXIMUM_ASKED` are. Strangers, which have been
+        heard of and are not in the view, come last: they may be gone, and end the search.
         """
         if len(tried) >= MAXIMUM_ASKED:
             return None
@@ -72,8 +89,14 @@
         everyone = self.topology.document.hosts
         for host in (*self.topology.homes(flow), *former, *peers, *everyone):
             if short_id(host.name) not in tried and host.name in self.topology.hosts:
-                return host
-        return None
+                return host.address
+        strangers = self.strangers(tried)
+        return self.heard_of[strangers[0]] if strangers else None
+
+    def strangers(self, tried: set[int]) -> list[str]:
+        """Return the hosts heard of that are not in the view and were not asked."""
+        heard = [name for name in self.heard_of if name not in self.topology.hosts]
+        return [name for name in heard if short_id(name) not in tried]
 
     def offer(self, message: Forward) -> list[Effect]:
         """Ask the upstream with the packet itself; it returns the packet if the flow is not its."""
@@ -117,16 +140,34 @@
         """Tell whether a flow is lost that none of the hosts asked knows.
 
         That is so if all were asked and no upstream can be missing in the view; or if all of them
-        have started lately and together, and none was heard of that the view lacks: then the
+        have started lately and together, and so have those heard of that the view lacks: then the
         upstreams lost power too, or one of them would have kept the packet.
         """
-        if len(message.visited) < len(self.topology.hosts):
+        asked = {visit.host_id for visit in message.visited}
+        if not self.topology.hosts_by_id.keys() <= asked:
             return False
         if self.view.is_settled(now):
             return True
         oldest = max(visit.load for visit in message.visited)
-        unknown = [name for name in self.heard_of if name not in self.topology.hosts]
-        return oldest < TOGETHER_S and not unknown
+        return oldest < TOGETHER_S and not self.strangers(asked)
+
+    def probe(self, now: float) -> list[Effect]:
+        """Find out whether the upstream runs, while it is not in the view.
+
+        One that does not run holds no flow, and one that starts later only such as this process
+        has seen begin.
+        """
+        is_sure = now >= self.unsure_until
+        if is_sure or now < self.next_probe or self.host_name in self.topology.hosts:
+            return []
+        self.next_probe = now + PROBE_S
+        return [ProbeUpstream()]
+
+    def on_upstream_down(self, event: UpstreamDown) -> list[Effect]:
+        """Ask the upstream no more about flows that this process does not know."""
+        self.unsure_until = min(self.unsure_until, event.now)
+        self.offered.clear()
+        return [LogChange(self.host_name, "sure", "its upstream does not run")]
 
     def reset_lost(self, message: Forward, reason: str) -> list[Effect]:
         """Reset an open flow that its upstream has lost, so that its caller comes back at once."""
@@ -156,8 +197,8 @@
     def on_recovery_request(self, event: PeerMessageArrived) -> list[Effect]:
         """Register flows anew at a home that has restarted."""
         restarted = event.message.host
-        if len(self.heard_of) < MAXIMUM_HEARD_OF:
-            self.heard_of.add(restarted)
+        if restarted in self.heard_of or len(self.heard_of) < MAXIMUM_HEARD_OF:
+            self.heard_of[restarted] = event.sender
         for owned in self.flows.flows.values():
             if restarted in owned.homes:
                 row = owned.registration(self.host_name)
--- a/src/heatheryoke/daemons/stream_roles.py
+++ b/src/heatheryoke/daemons/stream_roles.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 from typing import Any
 
-from heatheryoke.core.effects import Deliver
-from heatheryoke.core.events import CallerPacket, UpstreamPacket
+from heatheryoke.core.effects import Deliver, ProbeUpstream
+from heatheryoke.core.events import CallerPacket, UpstreamDown, UpstreamPacket
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.stream_agent import StreamAgent
 from heatheryoke.core.stream_balancer import StreamBalancer
@@ -18,6 +18,9 @@
 
 __all__ = ["STREAM_APPLICATIONS", "StreamAgentApplication", "StreamBalancerApplication", "run_role"]
 
+# The upstream is on the same host: a refusal takes less than a millisecond.
+PROBE_TIMEOUT_S = 0.5
+
 
 class StreamBalancerApplication(StreamApplication):
     """A balancer's process."""
@@ -55,7 +58,8 @@
 
     def __init__(self, *arguments: Any):
         super().__init__(*arguments)
-        self.effect_handlers[Deliver] = self.deliver
+        self.effect_handlers |= {Deliver: self.deliver, ProbeUpstream: self.begin_probe}
+        self.probing: asyncio.Task[None] | None = None
 
     def make_node(self) -> StreamAgent:
         """Return an agent's reducer."""
@@ -84,6 +88,29 @@
         """Hand a packet to the upstream."""
         self.outer.send(effect.payload, self.settings.upstream)
 
+    def begin_probe(self, effect: ProbeUpstream) -> None:
+        """Look whether the upstream runs, unless that is being done."""
+        if self.probing is None or self.probing.done():
+            self.probing = asyncio.get_running_loop().create_task(self.probe())
+
+    async def probe(self) -> None:
+        """Open a connection to the upstream; only a refusal shows that it does not run."""
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(*self.settings.upstream)
+        except ConnectionRefusedError:
+            self.step(UpstreamDown(self.clock()))
+        except (OSError, TimeoutError):
+            self.record.add("probes_without_verdict")
+        else:
+            writer.close()
+
+    def close(self) -> None:
+        """Close everything at once."""
+        if self.probing is not None:
+            self.probing.cancel()
+        super().close()
+
     def use_settings(self, settings: StreamSettings) -> None:
         """Tell the reducer which service its upstream is of."""
         self.node.service = settings.service
--- a/tests/test_stream_settings.py
+++ b/tests/test_stream_settings.py
@@ -1,11 +1,13 @@
 """Settings of byte streams are checked whole, and each bad line is named."""
 
+import asyncio
 import os
 from pathlib import Path
 
 from typer.testing import CliRunner
 
 from heatheryoke.cli import app
+from heatheryoke.core.effects import ProbeUpstream
 from heatheryoke.daemons.json_log import JsonLog
 from heatheryoke.daemons.stream_roles import StreamAgentApplication
 from heatheryoke.daemons.stream_settings import STREAM_SETTINGS, read_stream_settings
@@ -111,6 +113,21 @@
         application.check_settings()
         assert application.node.service == "print"
 
+    def test_a_refused_connection_shows_that_the_upstream_does_not_run(self, tmp_path):
+        async def run(settings, path):
+            application = StreamAgentApplication(settings, path, JsonLog("a", descriptor=None))
+            application.settings = settings._replace(upstream=Address("127.24.0.4", 9))
+            assert application.node.unsure_until > application.clock()
+            application.begin_probe(ProbeUpstream())
+            await application.probing
+            return application
+
+        path = written(tmp_path, AGENT.replace("first_start = true", "first_start = false"))
+        settings, _ = read_stream_settings(path, Role.AGENT)
+        application = asyncio.run(run(settings, path))
+        assert application.node.unsure_until <= application.clock()
+        assert application.record.counters == {}
+
     def test_unusable_settings_change_nothing(self, tmp_path):
         path = written(tmp_path, AGENT)
         settings, _ = read_stream_settings(path, Role.AGENT)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,6 +14,7 @@
     Deliver,
     Effect,
     LogChange,
+    ProbeUpstream,
     SendForward,
     SendPeer,
 )
@@ -26,6 +27,7 @@
     StoreChanged,
     StoreRead,
     Tick,
+    UpstreamDown,
     UpstreamPacket,
 )
 from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key
@@ -372,6 +374,46 @@
         agent.reduce(PeerMessageArrived(NOW, BALANCER, 3, RecoveryRequest("10.1.0.9", 1, 0)))
         assert not of_kind(self.asked_everyone(agent, NOW + 0.5, uptime_s=1.0), AnswerCaller)
 
+    def test_a_host_that_the_view_lacks_is_asked_last_and_then_settles_it(self):
+        agent, stranger = make_agent(), Address("10.1.0.9", PORT)
+        agent.reduce(PeerMessageArrived(NOW, stranger, 3, RecoveryRequest("10.1.0.9", 1, 0)))
+        (asked,) = of_kind(self.asked_everyone(agent, NOW + 0.5, uptime_s=1.0), SendForward)
+        assert asked.to == stranger
+        visits = (*asked.message.visited, Visit(short_id("10.1.0.9"), 1.0))
+        back = asked.message._replace(visited=visits)
+        effects = agent.reduce(ForwardArrived(NOW + 0.51, stranger, 3, back))
+        assert of_kind(effects, AnswerCaller)
+
+    def test_a_host_that_the_view_lacks_leaves_the_verdict_to_a_home(self):
+        agent, flow = make_agent(number=9), flow_of(1)
+        visits = tuple(Visit(short_id(f"10.1.0.{n}"), 1.0) for n in range(1, 6))
+        (sent,) = of_kind(
+            agent.reduce(forward(flow, packet(flow, ACK, 2, 501), visited=visits)), SendForward
+        )
+        assert sent.to == agent.topology.homes(flow)[0].address
+        assert sent.message.visited[-1].host_id == short_id("10.1.0.9")
+
+    def test_one_more_host_asked_does_not_stand_for_another(self):
+        agent, flow = make_agent(), flow_of(1)
+        visits = tuple(Visit(short_id(f"10.1.0.{n}"), 1.0) for n in (2, 3, 4, 9))
+        effects = agent.reduce(forward(flow, packet(flow, ACK, 2, 501), visited=visits))
+        assert not of_kind(effects, AnswerCaller)
+        assert [row.to.ip for row in of_kind(effects, SendForward)] == ["10.1.0.5"]
+
+    def test_an_agent_without_its_upstream_in_the_view_finds_out_whether_it_runs(self):
+        agent, flow = make_agent(number=9, first_start=False), flow_of(1)
+        data = forward(flow, packet(flow, ACK, 2, 501), now=NOW + 0.2)
+        assert of_kind(agent.reduce(Tick(NOW + 0.1)), ProbeUpstream)
+        assert not of_kind(agent.reduce(Tick(NOW + 0.2)), ProbeUpstream)
+        assert of_kind(agent.reduce(data), Deliver)
+        agent.reduce(UpstreamDown(NOW + 0.3))
+        again = agent.reduce(data._replace(now=NOW + 0.4))
+        assert not of_kind(again, Deliver) and of_kind(again, SendForward)
+        assert not of_kind(agent.reduce(Tick(NOW + 9.0)), ProbeUpstream)
+
+    def test_an_agent_with_its_upstream_in_the_view_needs_not_find_out(self):
+        assert not of_kind(make_agent(first_start=False).reduce(Tick(NOW + 0.1)), ProbeUpstream)
+
     def test_a_reset_is_not_answered_by_one(self):
         agent = make_agent()
         agent.reduce(StoreChanged(NOW + 6.9, ()))
@@ -399,7 +441,16 @@
     def test_all_have_handlers(self):
         source = "".join(
             (Path(core.__file__).parent / f"{name}.py").read_text()
-            for name in ("owner", "home", "stream_agent", "stream_balancer", "store_node")
+            for name in (
+                "owner",
+                "home",
+                "store_node",
+                "stream_admission",
+                "stream_agent",
+                "stream_balancer",
+                "stream_owner",
+                "stream_search",
+            )
         )
         settings = StreamSettings(
             "a",
