Bound how often two strangers pass a packet back

Passing back now counts as a hop, of at most 12; a view without any host drops the packet. Two tests, the first failed before (13 passes and going on).

--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -70,7 +70,7 @@
             return [SendForward(following, message)]
         if self.host_name not in self.topology.hosts:
             homes = self.topology.homes(flow)
-            return [SendForward(home.address, message) for home in homes[:1]]
+            return self.pass_on(message, homes[0]) if homes else [Count("dropped_no_host")]
         if self.may_call_lost(message, now):
             return self.reset_lost(message, "no upstream holds the flow")
         return [Count("dropped_no_owner")]
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -393,6 +393,23 @@
         assert sent.to == agent.topology.homes(flow)[0].address
         assert sent.message.visited[-1].host_id == short_id("10.1.0.9")
 
+    def test_hosts_that_their_own_views_lack_do_not_pass_a_packet_back_for_ever(self):
+        agent, flow = make_agent(number=9), flow_of(1)
+        visits = tuple(Visit(short_id(f"10.1.0.{n}"), 1.0) for n in (1, 2, 3, 4, 5, 9))
+        data, passes = packet(flow, ACK, 2, 501), 0
+        message = forward(flow, data, visited=visits).message
+        while passes <= HOP_LIMIT:
+            sent = of_kind(agent.reduce(ForwardArrived(NOW, BALANCER, 3, message)), SendForward)
+            if not sent:
+                break
+            message, passes = sent[0].message, passes + 1
+        assert 0 < passes <= HOP_LIMIT
+
+    def test_a_packet_is_dropped_while_the_view_has_no_host_at_all(self):
+        agent, flow = make_agent(items=(configuration(),)), flow_of(1)
+        effects = agent.reduce(forward(flow, packet(flow, ACK, 2, 501)))
+        assert not of_kind(effects, SendForward | Deliver | AnswerCaller)
+
     def test_one_more_host_asked_does_not_stand_for_another(self):
         agent, flow = make_agent(), flow_of(1)
         visits = tuple(Visit(short_id(f"10.1.0.{n}"), 1.0) for n in (2, 3, 4, 9))
