Read each packet's head once on its way through an agent

Found while reading: an agent read the head of each of a caller's packets twice, each time by way of a second record.

--- a/src/heatheryoke/platform/packets.py
+++ b/src/heatheryoke/platform/packets.py
@@ -71,27 +71,35 @@
     return FLOW_FORMAT.pack(UDP, target[::-1], dport, source[::-1], sport)
 
 
+def _read_head(packet: bytes) -> StreamHead:
+    _, _, _, _, _, _, flags, _, sequence, acknowledged, length = HEAD.unpack_from(packet)
+    opens = flags & (SYN | ACK) == SYN
+    copy = min(acknowledged, len(COPY_AGES_S) - 1) if opens else 0
+    return StreamHead(
+        opens,
+        flags & (SYN | ACK) == SYN | ACK,
+        flags & FIN != 0,
+        flags & RST != 0,
+        flags & BOUNCED != 0,
+        sequence,
+        acknowledged,
+        length,
+        COPY_AGES_S[copy],
+    )
+
+
 class PacketCodec(StreamCodec):
-    """Reads and writes heads."""
+    """Reads and writes heads; each step of a packet's way asks for the same head again."""
+
+    def __init__(self):
+        self.last_packet = b""
+        self.last_head: StreamHead | None = None
 
     def read_head(self, packet: bytes) -> StreamHead:
         """Return what the head of a checked packet says."""
-        head = PacketHead(*HEAD.unpack_from(packet))
-        flags = head.flags
-        syn = flags & SYN
-        opens = bool(syn and not flags & ACK)
-        copy = min(head.acknowledged, len(COPY_AGES_S) - 1) if opens else 0
-        return StreamHead(
-            opens,
-            bool(syn and flags & ACK),
-            bool(flags & FIN),
-            bool(flags & RST),
-            bool(flags & BOUNCED),
-            head.sequence,
-            head.acknowledged,
-            head.length,
-            COPY_AGES_S[copy],
-        )
+        if packet is not self.last_packet or self.last_head is None:
+            self.last_packet, self.last_head = packet, _read_head(packet)
+        return self.last_head
 
     def reset(self, flow: FlowKey, sequence: int) -> bytes:
         """Return a reset for a flow's caller."""
