--- a/src/heatheryoke/core/configuration.py
+++ b/src/heatheryoke/core/configuration.py
@@ -20,13 +20,17 @@
 )
 from heatheryoke.inventory.model import Address, Document
 
-__all__ = ["POLL_S", "Configuration", "InvalidDocument", "is_platform_watcher"]
+__all__ = ["EPOCH_CLAIM_S", "POLL_S", "Configuration", "InvalidDocument"]
+__all__ += ["is_platform_watcher"]
 
 REQUEST_RETRY_S = 0.3
 POLL_S = 60.0
 PART_BYTES = 1_100
 PLATFORM_WATCHERS_PER_DOMAIN = 2
 MAXIMUM_PARTS = 1_000
+# Time after which a peer's epoch that is neither repeated nor supplied no longer counts as known:
+# five heartbeats (1 s), in which a running peer would have repeated it.
+EPOCH_CLAIM_S = 5.0
 
 
 class InvalidDocument(tuple[Problem, ...]):
@@ -62,6 +66,9 @@
         self.parts_key: tuple[int, int, int] = (0, 0, 0)
         self.requested_at = float("-inf")
         self.newest_known_epoch = 0
+        self.newest_known_at = float("-inf")
+        self.refused_epoch = 0
+        self.needs_whole_document = False
 
     @property
     def version(self) -> int:
@@ -76,6 +83,7 @@
             change = make_change(self.topology.document, document)
             self.change_from_previous = (change.base, encode_change(change))
         self.topology = Topology(document)
+        self.needs_whole_document = False
         self.encoded = b""
         self.parts.clear()
         return True
@@ -84,15 +92,24 @@
         """Request a newer epoch from a peer, unless a request was sent just before."""
         if epoch <= self.version:
             return []
-        self.newest_known_epoch = max(self.newest_known_epoch, epoch)
+        if epoch >= self.newest_known_epoch or not self.is_behind(now):
+            self.newest_known_epoch = epoch
+            self.newest_known_at = now
         if now - self.requested_at < REQUEST_RETRY_S:
             return []
         self.requested_at = now
-        return [SendPeer(peer, ConfigurationRequest(self.version)), Count("configuration_requests")]
+        have = 0 if self.needs_whole_document else self.version
+        return [SendPeer(peer, ConfigurationRequest(have)), Count("configuration_requests")]
 
-    def is_behind(self) -> bool:
-        """Return whether a peer is known to have a newer epoch."""
-        return self.newest_known_epoch > self.version
+    def is_behind(self, now: float) -> bool:
+        """Return whether a newer epoch than the one in force, not yet refused, is known.
+
+        It is forgotten `EPOCH_CLAIM_S` after a peer last showed it, so that one that no running
+        peer can supply does not mute this process for good.
+        """
+        if now - self.newest_known_at > EPOCH_CLAIM_S:
+            return False
+        return self.newest_known_epoch > max(self.version, self.refused_epoch)
 
     def answer(self, peer: Address, request: ConfigurationRequest) -> list[Effect]:
         """Send a peer the last change if it has the version before it, else the whole document."""
@@ -132,9 +149,15 @@
         held = self.topology.document
         return decode_change(data).bind(lambda change: apply_change(held, change))
 
-    def fetch_after_refusal(self) -> list[Effect]:
-        """Fetch from the platform, and let the next peer with a newer epoch be asked at once."""
+    def fetch_after_refusal(self, version: int) -> list[Effect]:
+        """Fetch from the platform, and let the next peer with a newer epoch be asked at once.
+
+        The peer is asked for its whole document, since a change that was refused once would be
+        refused again.
+        """
         self.requested_at = float("-inf")
+        self.needs_whole_document = True
+        self.refused_epoch = max(self.refused_epoch, version)
         return [Count("configurations_refused"), FetchConfiguration()]
 
 
--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -53,8 +53,11 @@
 
     def find(self, flow: FlowKey, now: float) -> Entry | None:
         """Return the entry of a flow, None if there is none or it has expired."""
-        entry = self.entries.get(flow) or self.tentative.get(flow)
-        return entry if entry is not None and entry.expires > now else None
+        for table in (self.entries, self.tentative):
+            entry = table.get(flow)
+            if entry is not None and entry.expires > now:
+                return entry
+        return None
 
     def registrations(self) -> list[Registration]:
         """Return every registration."""
--- a/src/heatheryoke/core/effects.py
+++ b/src/heatheryoke/core/effects.py
@@ -142,5 +142,7 @@
     | Measure
     | LogChange
     | LogFlow
+    | PostponeStoreRead
+    | ProbeUpstream
     | Stopped
 )
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -159,7 +159,11 @@
     def reset_silently(self, flows: set[FlowKey], now: float) -> list[Effect]:
         """End every request and feed of some flows without answering their callers."""
         effects = self.reset(flows, RefusalReason.STOPPING, now)
-        return [effect for effect in effects if not isinstance(effect, AnswerCaller)]
+        return [
+            effect
+            for effect in effects
+            if not isinstance(effect, AnswerCaller) or effect.flow not in flows
+        ]
 
     def reset_request(
         self, active: ActiveRequest, reason: RefusalReason, now: float
@@ -190,5 +194,8 @@
         effects: list[Effect] = []
         keys = [key for key in self.feeds if key[0] == flow]
         for key in keys:
+            renewal = self.pending.get(key)
+            if renewal is not None and renewal.is_renewal:
+                self.admission(renewal.service, now).abandon(renewal)
             effects += self.refuse(self.feeds.pop(key), RefusalReason.FEED_ENDED, now)
         return effects
--- a/src/heatheryoke/core/ring_node.py
+++ b/src/heatheryoke/core/ring_node.py
@@ -179,7 +179,9 @@
 
     def end_confirmation(self) -> list[Effect]:
         """Resume after a pause, once no newer epoch is known than the one in force."""
-        if not self.confirming or self.paused_until_tick or self.configuration.is_behind():
+        if not self.confirming or self.paused_until_tick:
+            return []
+        if self.configuration.is_behind(self.last_event):
             return []
         self.confirming = False
         return [LogChange(self.host_name, "resumed", f"epoch {self.epoch} confirmed")]
@@ -295,7 +297,7 @@
         if result is None:
             return []
         if not isinstance(result, Success):
-            return self.configuration.fetch_after_refusal()
+            return self.configuration.fetch_after_refusal(event.message.version)
         span, self.pending_span = self.pending_span, 0
         effects = self.adopt_document(result.unwrap(), event.now, lambda: span)
         return effects + self.end_confirmation()
--- a/src/heatheryoke/core/write_claims.py
+++ b/src/heatheryoke/core/write_claims.py
@@ -199,10 +199,13 @@
         return effects
 
     def cancel(self, active: ActiveRequest, now: float) -> list[Effect]:
-        """Abort the claim round of a request."""
-        self.claimant.rounds.pop(active.request.request_id, None)
-        self.claiming.pop(active.request.request_id, None)
-        return self.release(active, False, now)
+        """Abort the claim round of a request; another that waits for its id claims in its place."""
+        request_id = active.request.request_id
+        self.claimant.rounds.pop(request_id, None)
+        self.claiming.pop(request_id, None)
+        waiting = self.waiting.pop(request_id, [])
+        effects = self.release(active, False, now)
+        return effects + self.claim_again(waiting, active.attempt, now)
 
     # Waiting for another runner's answer
 
--- a/src/heatheryoke/daemons/setting_values.py
+++ b/src/heatheryoke/daemons/setting_values.py
@@ -1,9 +1,14 @@
 """Parsers for setting values. Each raises `ValueError` if the text is invalid."""
 
+import configparser
+from collections.abc import Iterable
+from pathlib import Path
 from typing import NamedTuple
 
+from heatheryoke.inventory.model import Address
+
 __all__ = ["SettingProblem", "parse_name", "parse_ports", "parse_seconds"]
-__all__ += ["parse_boolean", "parse_milliseconds"]
+__all__ += ["find_unknown", "parse_boolean", "parse_ip", "parse_milliseconds"]
 
 
 class SettingProblem(NamedTuple):
@@ -28,6 +33,11 @@
     return text
 
 
+def parse_ip(text: str) -> str:
+    """Return an IPv4 address in dotted form."""
+    return Address.parse(f"{text}:1").ip
+
+
 def parse_ports(text: str) -> tuple[int, int]:
     """Return the first and the last port of a range written as `first,last`."""
     first, _, last = text.partition(",")
@@ -54,3 +64,20 @@
     if text not in ("true", "false"):
         raise ValueError("must be true or false")
     return text == "true"
+
+
+def find_unknown(
+    path: Path, parser: configparser.ConfigParser, known: Iterable[tuple[str, str]]
+) -> list[SettingProblem]:
+    """Return a problem for each section and key that is not among the `known` pairs."""
+    known = set(known)
+    sections = {section for section, _ in known}
+    problems: list[SettingProblem] = []
+    for section in parser.sections():
+        if section not in sections:
+            problems.append(SettingProblem(str(path), section, "", "", "unknown section"))
+            continue
+        for key, value in parser[section].items():
+            if (section, key) not in known:
+                problems.append(SettingProblem(str(path), section, key, value, "unknown key"))
+    return problems
--- a/src/heatheryoke/daemons/settings.py
+++ b/src/heatheryoke/daemons/settings.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
-from heatheryoke.daemons.setting_values import SettingProblem, parse_name
+from heatheryoke.daemons.setting_values import SettingProblem, find_unknown, parse_name
 from heatheryoke.inventory.model import Address, Role
 
 __all__ = ["SETTINGS", "LogFormat", "Setting", "SettingProblem", "Settings", "read_settings"]
@@ -225,7 +225,8 @@
         parser.read_string(path.read_text(encoding="utf-8"), source=str(path))
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
         return Failure((SettingProblem(str(path), "", "", "", _one_line(error)),))
-    problems = _find_unknown(path, parser, role)
+    known = {(setting.section, setting.key) for setting in SETTINGS if role in setting.roles}
+    problems = find_unknown(path, parser, known)
     values: dict[str, Any] = {}
     for setting in SETTINGS:
         if role not in setting.roles:
@@ -253,22 +254,5 @@
     return None
 
 
-def _find_unknown(
-    path: Path, parser: configparser.ConfigParser, role: Role
-) -> list[SettingProblem]:
-    """Return a problem for each section and key that is unknown or belongs to another role."""
-    known = {(setting.section, setting.key) for setting in SETTINGS if role in setting.roles}
-    sections = {section for section, _ in known}
-    problems: list[SettingProblem] = []
-    for section in parser.sections():
-        if section not in sections:
-            problems.append(SettingProblem(str(path), section, "", "", "unknown section"))
-            continue
-        for key, value in parser[section].items():
-            if (section, key) not in known:
-                problems.append(SettingProblem(str(path), section, key, value, "unknown key"))
-    return problems
-
-
 def _one_line(error: Exception) -> str:
     return " ".join(str(error).split())
--- a/src/heatheryoke/daemons/stream_settings.py
+++ b/src/heatheryoke/daemons/stream_settings.py
@@ -7,7 +7,9 @@
 
 from heatheryoke.daemons.setting_values import (
     SettingProblem,
+    find_unknown,
     parse_boolean,
+    parse_ip,
     parse_milliseconds,
     parse_name,
     parse_ports,
@@ -56,7 +58,7 @@
 
 STREAM_SETTINGS = (
     StreamSetting("name", "process", "name", parse_name, BOTH_ROLES, "The host's name in logs."),
-    StreamSetting("ip", "process", "ip", parse_name, BOTH_ROLES, "The host's IP address."),
+    StreamSetting("ip", "process", "ip", parse_ip, BOTH_ROLES, "The host's IP address."),
     StreamSetting(
         "failure_domain",
         "process",
@@ -177,4 +179,6 @@
             problems.append(
                 SettingProblem(str(path), setting.section, setting.key, text, str(error))
             )
+    known = {(setting.section, setting.key) for setting in STREAM_SETTINGS}
+    problems += find_unknown(path, parser, known)
     return (None if problems else StreamSettings(**values)), tuple(problems)
--- a/src/heatheryoke/inventory/checks.py
+++ b/src/heatheryoke/inventory/checks.py
@@ -3,6 +3,7 @@
 import socket
 from collections import Counter
 from collections.abc import Iterable, Iterator
+from math import inf
 from typing import NamedTuple
 
 import xxhash
@@ -121,11 +122,13 @@
             yield Problem("service", service.name, f"floor must be above 0: {service.floor}")
         if service.warm_answers < 1:
             yield Problem("service", service.name, f"warm_answers below 1: {service.warm_answers}")
-        if service.idle_s <= 0:
-            yield Problem("service", service.name, f"idle_s must be above 0: {service.idle_s}")
+        if not 0 < service.idle_s < inf:
+            reason = f"idle_s must be positive and finite: {service.idle_s}"
+            yield Problem("service", service.name, reason)
         for name, weight in service.class_weights.items():
-            if weight <= 0:
-                yield Problem("service", service.name, f"weight of {name!r} must be above 0")
+            if not 0 < weight < inf:
+                reason = f"weight of {name!r} must be positive and finite: {weight}"
+                yield Problem("service", service.name, reason)
 
 
 def _check_separation(document: Document) -> Iterator[Problem]:
--- a/src/heatheryoke/inventory/importer.py
+++ b/src/heatheryoke/inventory/importer.py
@@ -36,6 +36,10 @@
 }
 
 
+# Prefix of the keys that end in the name of a request class.
+CLASS_WEIGHT_PREFIX = "weight."
+
+
 class ImportProblem(NamedTuple):
     """A reason why an import is refused, with its place in the files."""
 
@@ -162,8 +166,17 @@
             importer.add_problem(location, error)
 
 
+def _normalize_key(key: str) -> str:
+    """Return a key in lower case, except for the request class that it may end in."""
+    lowered = key.lower()
+    if not lowered.startswith(CLASS_WEIGHT_PREFIX):
+        return lowered
+    return CLASS_WEIGHT_PREFIX + key[len(CLASS_WEIGHT_PREFIX) :]
+
+
 def _read_rules(importer: Importer, path: Path) -> None:
     parser = configparser.ConfigParser(interpolation=None, strict=True)
+    parser.optionxform = _normalize_key
     try:
         parser.read_string(path.read_text(encoding="utf-8"), source=str(path))
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
@@ -238,10 +251,10 @@
 
 
 def _apply_service_rule(importer: Importer, names: list[str], key: str, value: str) -> None:
-    if key.startswith("weight."):
+    if key.startswith(CLASS_WEIGHT_PREFIX):
         index = importer.find_index("service", lambda row: row.name == names[0])
         weights = dict(importer.rows["service"][index].class_weights) if index is not None else {}
-        weights[key.removeprefix("weight.")] = float(value)
+        weights[key.removeprefix(CLASS_WEIGHT_PREFIX)] = float(value)
         changes: dict[str, Any] = {"class_weights": weights}
     elif key in SERVICE_RULE_PARSERS:
         changes = {key: SERVICE_RULE_PARSERS[key](value)}
--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -140,7 +140,7 @@
     return Route(
         _checked_name(entry["name"]),
         # `host` is an IP address and `prefix` a port between slashes
-        Address(_checked_name(entry["host"]), int(_checked_name(entry["prefix"]).strip("/"))),
+        Address.parse(f"{entry['host']}:{_checked_name(entry['prefix']).strip('/')}"),
         shares,
         entry["kind"] in IDEMPOTENT_KINDS,
         _checked_number(entry["targetLatencyMs"]) / 1000,
--- a/src/heatheryoke/wire/envelope.py
+++ b/src/heatheryoke/wire/envelope.py
@@ -41,6 +41,9 @@
     CONTROL = 2
 
 
+KINDS = frozenset(EnvelopeKind)
+
+
 class BadEnvelope(Enum):
     """A reason for dropping a datagram."""
 
@@ -49,6 +52,7 @@
     WRONG_VERSION = "wrong_version"
     FORGED = "forged"
     REPLAYED = "replayed"
+    UNKNOWN_KIND = "unknown_kind"
 
 
 class Envelope(NamedTuple):
@@ -125,6 +129,8 @@
             return BadEnvelope.FORGED
         if not self.window(sender).accept(sequence):
             return BadEnvelope.REPLAYED
+        if kind not in KINDS:
+            return BadEnvelope.UNKNOWN_KIND
         return Envelope(EnvelopeKind(kind), sender, epoch, body)
 
     def window(self, sender: int) -> ReplayWindow:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -106,6 +106,15 @@
         assert directory.find(FLOWS[0], TENTATIVE_S + 0.1) is None
 
 
+class TestFind:
+    def test_an_expired_entry_does_not_hide_a_live_tentative_one(self):
+        directory = Directory()
+        directory.register(make_registration("upstream-1"), 0.0)
+        directory.add_tentative(FLOWS[0], "upstream-2", 0, True, ENTRY_S + 1.0)
+        found = directory.find(FLOWS[0], ENTRY_S + 1.5)
+        assert found is not None and found.registration.owner == "upstream-2"
+
+
 class TestBound:
     def test_idle_entry_is_evicted(self):
         directory = Directory(maximum=1)
--- a/tests/test_epochs.py
+++ b/tests/test_epochs.py
@@ -4,11 +4,11 @@
 from hypothesis import strategies as st
 
 from heatheryoke.core.balancer import Balancer
-from heatheryoke.core.configuration import Configuration, is_platform_watcher
+from heatheryoke.core.configuration import EPOCH_CLAIM_S, Configuration, is_platform_watcher
 from heatheryoke.core.effects import Count, FetchConfiguration, SendPeer
 from heatheryoke.core.events import ConfigurationOffered, PeerMessageArrived, Tick
 from heatheryoke.core.messages import ConfigurationPart, ConfigurationRequest, EpochNotice
-from heatheryoke.core.node import PAUSE_S
+from heatheryoke.core.node import PAUSE_S, TICK_S
 from heatheryoke.core.topology import Topology
 from heatheryoke.inventory.model import Address, Document, FailureDomain, Host, Role
 
@@ -109,6 +109,13 @@
             node.reduce(PeerMessageArrived(0.1, PEER, 4, part))
         assert node.epoch == 3
 
+    def test_after_a_refused_change_the_whole_document_is_requested(self):
+        node = Balancer("balancer-0", 1)
+        node.reduce(ConfigurationOffered(0.0, document(3)))
+        node.reduce(PeerMessageArrived(0.1, PEER, 5, ConfigurationPart(5, 3, 0, 1, b"no change")))
+        effects = node.reduce(PeerMessageArrived(0.2, PEER, 5, EpochNotice(0)))
+        assert SendPeer(PEER, ConfigurationRequest(0)) in effects
+
     def test_a_newer_epoch_is_requested_from_its_sender(self):
         node = Balancer("balancer-0", 1)
         node.reduce(ConfigurationOffered(0.0, document(3)))
@@ -143,6 +150,22 @@
         node.reduce(ConfigurationOffered(1.3, document(5)))
         assert not node.is_muted()
 
+    def test_an_epoch_that_nobody_repeats_or_supplies_does_not_mute(self):
+        node = self.paused()
+        node.reduce(PeerMessageArrived(1.2, PEER, 5, EpochNotice(0)))
+        end = 1.2 + EPOCH_CLAIM_S
+        for step in range(int((end - 1.2) / TICK_S) + 2):
+            node.reduce(Tick(1.2 + step * TICK_S))
+        node.reduce(ConfigurationOffered(end + 0.1, document(3)))
+        assert not node.is_muted()
+
+    def test_an_epoch_whose_document_was_refused_does_not_mute(self):
+        node = self.paused()
+        part = ConfigurationPart(9, 0, 0, 1, b"not a document")
+        node.reduce(PeerMessageArrived(1.2, PEER, 9, part))
+        node.reduce(ConfigurationOffered(1.3, document(3)))
+        assert not node.is_muted()
+
 
 class TestPlatformWatchers:
     def test_are_two_per_failure_domain_without_suspected_hosts(self):
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -72,6 +72,13 @@
         assert document.endpoints[0].weight == 2.0
         assert CliRunner().invoke(app, ["inventory", "check", str(output)]).exit_code == 0
 
+    def test_request_classes_keep_their_case(self, tmp_path):
+        rules = RULES.replace("weight.measurements", "Weight.Holds").replace("version", "Version")
+        result, output = run_import(tmp_path, rules=rules)
+        assert result.exit_code == 0, result.output
+        document = decode_document(output.read_bytes()).unwrap()
+        assert document.services[0].class_weights == {"Holds": 2.0}
+
     @pytest.mark.parametrize(
         ("assets", "rules", "expected"),
         [
@@ -85,6 +92,10 @@
             (ASSETS, RULES.replace("version = 3", "version = x"), "whole number"),
             (ASSETS, RULES + "[host upstream-9]\nstate = leaving\n", "no such host"),
             (ASSETS, RULES + "[cache]\nsize = 1\n", "unknown section"),
+            (ASSETS, RULES.replace("floor = 0.5", "idle_s = nan"), "idle_s must be"),
+            (ASSETS, RULES.replace("floor = 0.5", "idle_s = inf"), "idle_s must be"),
+            (ASSETS, RULES.replace("measurements = 2", "measurements = inf"), "'measurements'"),
+            (ASSETS, RULES.replace("measurements = 2", "measurements = nan"), "'measurements'"),
             (
                 ASSETS,
                 RULES.replace("draining", "asleep"),
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -127,6 +127,16 @@
         value = {name: part for name, part in ENDPOINT.items() if name != field}
         assert read_item(raw_item("servers/i-1", value))[0].record is None
 
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [("host", "198.18.0.256"), ("host", "entry.example"), ("prefix", "/70000/")],
+    )
+    def test_configuration_with_an_invalid_route_address_is_skipped(self, field, value):
+        routes = [{**CONFIGURATION["routes"][0], field: value}]
+        item, problem = read_item(raw_item("op/config", {**CONFIGURATION, "routes": routes}))
+        assert item is None
+        assert isinstance(problem, UnreadableItemError)
+
     def test_unreadable_configuration_is_skipped(self):
         decoded, problem = read_item(raw_item("op/config", b"\xff\xfe"))
         assert decoded is None and problem is not None
--- a/tests/test_request_engine.py
+++ b/tests/test_request_engine.py
@@ -180,3 +180,34 @@
         (answer,) = answered(bench.engine.advance(2.5))
         assert answer.token == message.token
         assert answer.phase != REFUSAL
+
+
+class TestFlowsThatEnd:
+    def open_feed(self, bench):
+        message = bench.message(RequestKind.FEED, path="feeds")
+        bench.send(message)
+        bench.engine.on_answer(bench.owned, message._replace(phase=ANSWER, feed=True).encode(), 0.1)
+        return message
+
+    def test_a_pending_renewal_frees_its_slot_when_its_feeds_end(self, bench):
+        self.open_feed(bench)
+        bench.engine.on_upstream_gone(bench.owned, 1.0)
+        bench.engine.advance(2.0)
+        admission = bench.engine.admissions[bench.service]
+        assert len(admission.running) == 1
+        effects = bench.engine.end_feeds(bench.owned.flow, 2.1)
+        assert len(answered(effects)) == 1
+        assert not admission.running and not bench.engine.pending
+
+    def test_a_request_waiting_for_a_cancelled_claim_is_claimed_itself(self, bench):
+        bench.engine.claims.witness.recovering_until = 10.0
+        bench.send(bench.message(request_id=b"id"))
+        other_flow = OwnedFlow(b"flow-b", bench.service, 0, 0, 0.0)
+        bench.flows.add(other_flow)
+        waiting = bench.message(request_id=b"id")
+        bench.engine.on_datagram(other_flow, waiting.encode(), 0.1)
+        bench.engine.reset_silently({bench.owned.flow}, 0.2)
+        assert bench.engine.claims.claiming[b"id"].flow == other_flow.flow
+        bench.engine.claims.witness.finish_recovery(0.3)
+        effects = bench.engine.advance(0.6)
+        assert [message.token for message in delivered(effects)] == [waiting.token]
--- a/tests/test_stream_settings.py
+++ b/tests/test_stream_settings.py
@@ -72,6 +72,22 @@
         keys = {problem.key for problem in problems}
         assert keys == {"callers", "peer_ports", "first_start", "flow_lifetime_s", "service"}
 
+    def test_an_unknown_line_is_reported(self, tmp_path):
+        text = AGENT_SETTINGS.replace("service = live", "service = live\nweight = 2")
+        settings, problems = read_stream_settings(
+            write_settings(tmp_path, text + "[cache]\nsize = 1\n"), Role.AGENT
+        )
+        assert settings is None
+        assert [(problem.section, problem.key) for problem in problems] == [
+            ("upstream", "weight"),
+            ("cache", ""),
+        ]
+
+    def test_the_hosts_ip_must_be_an_address(self, tmp_path):
+        text = AGENT_SETTINGS.replace("ip = 10.1.0.12", "ip = zzz")
+        settings, problems = read_stream_settings(write_settings(tmp_path, text), Role.AGENT)
+        assert settings is None and [problem.key for problem in problems] == ["ip"]
+
     def test_an_unreadable_file_is_a_problem(self, tmp_path):
         for text in ("[process", "name = outside"):
             settings, problems = read_stream_settings(write_settings(tmp_path, text), Role.AGENT)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -61,6 +61,10 @@
         receiver.open(sealed)
         assert receiver.open(sealed) is BadEnvelope.REPLAYED
 
+    def test_drops_a_datagram_of_an_unknown_kind(self):
+        sealed = EnvelopeCodec(KEY, 1).seal(9, 9, b"body")
+        assert EnvelopeCodec(KEY, 2).open(sealed) is BadEnvelope.UNKNOWN_KIND
+
     def test_drops_a_datagram_with_another_key(self):
         sealed = EnvelopeCodec(b"x" * 32, 1).seal(EnvelopeKind.CONTROL, 9, b"body")
         assert EnvelopeCodec(KEY, 2).open(sealed) is BadEnvelope.FORGED
