Number notifications by the clock, so that renewed feeds are not silent

Cause: an upstream numbers the notifications of a renewed feed from the start, and a caller drops numbers below the last one for 128 s (RFC 7641, section 3.4). So each feed was silent after its agent's restart for as long as it had lasted before. Ruled out by the agents' counters: lost flows, failed renewals, notifications not sent on. Change: agents write the Observe number, from the clock, strictly growing within a feed.

--- a/features/faults.feature
+++ b/features/faults.feature
@@ -12,6 +12,13 @@
     And no feed was broken
     And no write was run twice
 
+  Scenario: Upgrading every host in turn silences no feed
+    Given the sundarban deployment runs as separate processes
+    When 14 callers open feeds
+    And every host is stopped and restarted in turn
+    Then every feed receives notifications
+    And no feed was broken
+
   Scenario: An agent that is killed and restarted keeps its feeds
     Given the sundarban deployment runs as separate processes
     When 14 callers open feeds
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -35,6 +35,12 @@
     run(context, change())
 
 
+@step("every host is stopped and restarted in turn")
+def stop_and_start_all(context):
+    for host in context.site.document.hosts:
+        stop_and_start(context, host.name)
+
+
 @step("{name} is killed and restarted")
 def kill_and_start(context, name):
     async def change():
--- a/src/heatheryoke/core/request_dispatcher.py
+++ b/src/heatheryoke/core/request_dispatcher.py
@@ -17,6 +17,7 @@
 )
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.history import TopologyHistory
+from heatheryoke.core.notification_numbers import next_notification_number
 from heatheryoke.core.ownership import OwnedFlow, OwnedFlows
 from heatheryoke.core.requests import (
     ActiveRequest,
@@ -269,7 +270,9 @@
         key = (owned.flow, answer.token)
         if key in self.feeds and key not in self.pending:
             self.admission(owned.service, now).renewals.pop(key, None)
-            if not answer.feed:
+            if answer.feed:
+                payload = self.number_notification(self.feeds[key], payload, now)
+            else:
                 self.end_feed(owned, answer.token)
             return [Count("notifications"), AnswerCaller(owned.flow, payload)]
         active = self.pending.get(key)
@@ -303,6 +306,8 @@
             self.renew_feeds(owned.service, now)
         del self.pending[active.flow, active.request.token]
         if active.phase is RequestPhase.RUNNING:
+            if feed:
+                payload = self.number_notification(active, payload, now)
             owned.store_answer(active.request.message_id, payload)
             effects.append(AnswerCaller(owned.flow, payload))
             if active.request.kind is RequestKind.FEED:
@@ -326,6 +331,11 @@
         owned.feeds[active.request.token] = active.payload
         self.flows.update_feeds(owned)
 
+    def number_notification(self, feed: ActiveRequest, payload: bytes, now: float) -> bytes:
+        """Return a feed's notification with the next number of its order."""
+        number = next_notification_number(feed, now + self.unix_offset_s)
+        return self.codec_of(feed.service).number_notification(payload, number)
+
     def update_feed(self, owned: OwnedFlow, active: ActiveRequest, feed: bool) -> None:
         """Open a feed if the upstream accepted it, else end it."""
         if feed:
--- a/src/heatheryoke/core/requests.py
+++ b/src/heatheryoke/core/requests.py
@@ -99,6 +99,7 @@
         "deadline",
         "flow",
         "is_renewal",
+        "notification_number",
         "overdue",
         "payload",
         "phase",
@@ -130,6 +131,7 @@
         self.attempt = 0
         self.overdue = False
         self.is_renewal = False
+        self.notification_number: int | None = None
 
 
 class RequestCodec(ABC):
@@ -163,6 +165,10 @@
     def renewal(self, payload: bytes, message_id: int) -> bytes:
         """Return a feed's request with a new message id."""
 
+    @abstractmethod
+    def number_notification(self, payload: bytes, number: int) -> bytes:
+        """Return a feed's notification with its number in the order of notifications."""
+
 
 CodecFactory = Callable[[Service], RequestCodec]
 
@@ -197,3 +203,7 @@
     def renewal(self, payload: bytes, message_id: int) -> bytes:
         """Return empty bytes, since an opaque protocol has no feeds."""
         return b""
+
+    def number_notification(self, payload: bytes, number: int) -> bytes:
+        """Return the datagram unchanged."""
+        return payload
--- a/src/heatheryoke/measure/plain_codec.py
+++ b/src/heatheryoke/measure/plain_codec.py
@@ -122,3 +122,7 @@
     def renewal(self, payload: bytes, message_id: int) -> bytes:
         """Return a feed's request with a new message id."""
         return PlainMessage.decode(payload)._replace(message_id=message_id).encode()
+
+    def number_notification(self, payload: bytes, number: int) -> bytes:
+        """Return a notification with its number, which 24 bits of a float hold exactly."""
+        return PlainMessage.decode(payload)._replace(number=number).encode()
--- a/src/heatheryoke/wire/coap.py
+++ b/src/heatheryoke/wire/coap.py
@@ -133,6 +133,12 @@
         message.mtype = types.NON
         return _encode(message)
 
+    def number_notification(self, payload: bytes, number: int) -> bytes:
+        """Return a notification with `number` as its Observe option (RFC 7641, section 3.4)."""
+        message = Message.decode(payload)
+        message.opt.observe = number
+        return _encode(message)
+
 
 def _decode(payload: bytes) -> Message | None:
     try:
--- a/tests/test_request_engine.py
+++ b/tests/test_request_engine.py
@@ -1,12 +1,17 @@
 """Tests of duplicates, claims, refusals and resets of the requests of owned flows."""
 
+import itertools
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from heatheryoke.core.effects import AnswerCaller, Deliver
 from heatheryoke.core.history import TopologyHistory
+from heatheryoke.core.notification_numbers import NUMBER_MODULUS, next_notification_number
 from heatheryoke.core.ownership import OwnedFlow, OwnedFlows
 from heatheryoke.core.request_engine import RequestEngine
-from heatheryoke.core.requests import RefusalReason, RequestKind
+from heatheryoke.core.requests import ActiveRequest, RefusalReason, RequestKind
 from heatheryoke.core.topology import Topology
 from heatheryoke.inventory.model import Address, Protocol
 from heatheryoke.measure.plain_codec import (
@@ -182,6 +187,33 @@
         assert answer.phase != REFUSAL
 
 
+class TestNotificationNumbers:
+    def notify(self, bench, message, now):
+        payload = message._replace(phase=ANSWER, feed=True, number=1.0).encode()
+        (answer,) = answered(bench.engine.on_answer(bench.owned, payload, now))
+        return int(answer.number)
+
+    def test_grow_although_the_upstream_numbers_a_renewed_feed_anew(self):
+        numbers = []
+        message = Bench().message(RequestKind.FEED, path="feeds")
+        for restarted_at in (0.0, 50.0):
+            bench = Bench()
+            bench.engine.unix_offset_s = 1_764_000_000.0
+            bench.send(message, restarted_at)
+            times = [restarted_at + 0.1 * step for step in range(1, 9)]
+            numbers += [self.notify(bench, message, now) for now in times]
+        assert numbers == sorted(set(numbers))
+
+    @given(st.lists(st.floats(0.0, 300_000.0), min_size=2, max_size=30))
+    def test_grow_even_if_the_clock_steps_back(self, times):
+        feed = ActiveRequest(b"flow", "live", None, b"", 0.0, 1.0, 1.0)
+        numbers = [next_notification_number(feed, time_s) for time_s in times]
+        pairs = itertools.pairwise(numbers)
+        assert all(
+            0 < (newer - older) % NUMBER_MODULUS < NUMBER_MODULUS // 2 for older, newer in pairs
+        )
+
+
 class TestFlowsThatEnd:
     def open_feed(self, bench):
         message = bench.message(RequestKind.FEED, path="feeds")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -207,6 +207,13 @@
         assert answer.token == b"tok"
         assert b"not run" in answer.payload
 
+    def test_a_notification_keeps_its_content_under_another_number(self):
+        sent = Message(code=codes.CONTENT, payload=b"12", _token=b"t", _mid=7, _mtype=types.NON)
+        sent.opt.observe = 3
+        numbered = Message.decode(self.codec.number_notification(sent.encode(), 70_000))
+        assert numbered.opt.observe == 70_000
+        assert (numbered.payload, numbered.token, numbered.mid) == (b"12", b"t", 7)
+
     def test_unknown_outcome_is_a_gateway_timeout(self):
         payload = self.codec.refusal(self.message(), RefusalReason.OUTCOME_UNKNOWN, 1.0)
         answer = Message.decode(payload)
