Send first packets another way when a host or failure domain is out of reach

Change: each hop of a first packet is acknowledged. Without an acknowledgement for 80 ms the sender avoids the host for 1 s and sends the packet another way, three times at most; two silent hosts without any answer from their failure domain put the domain out of reach, which is pinged (0.4 s) and used again with its first answer. Homes, candidates and substitutes are chosen within reach; other messages go through a third domain, once. A balancer that reaches nobody is not ready. A verdict changes ways only: an owner out of reach keeps its flows, no flow is reset for it. Ruled out: beacons between all pairs (traffic grows with the square); verdicts by heard packets (a one-way cut is not seen). Found by the tests: resends were counted anew and never ended; a balancer, which the view does not name, relayed through its own domain.

--- a/src/heatheryoke/core/effects.py
+++ b/src/heatheryoke/core/effects.py
@@ -20,6 +20,7 @@
     "Measure",
     "PostponeStoreRead",
     "ProbeUpstream",
+    "ScheduleTick",
     "SendForward",
     "SendPeer",
     "Stopped",
@@ -125,6 +126,12 @@
     """Check whether the upstream's process is running, without sending a request."""
 
 
+class ScheduleTick(NamedTuple):
+    """Make the next tick come no later than in `delay_s` seconds."""
+
+    delay_s: float
+
+
 class Stopped(NamedTuple):
     """The graceful stop is complete; the process may exit."""
 
@@ -144,5 +151,6 @@
     | LogFlow
     | PostponeStoreRead
     | ProbeUpstream
+    | ScheduleTick
     | Stopped
 )
--- a/src/heatheryoke/core/forwarder.py
+++ b/src/heatheryoke/core/forwarder.py
@@ -71,12 +71,16 @@
         if owner_id is None:
             return None
         owner = self.topology.hosts_by_id.get(owner_id)
-        if owner is None or not self.is_usable(owner):
+        if owner is None or not self.keeps_flows(owner):
             del self.hints[flow]
             return None
         self.hints.move_to_end(flow)
         return owner
 
+    def keeps_flows(self, owner: Host) -> bool:
+        """Return whether a host still owns the flows that it owned."""
+        return self.is_usable(owner)
+
     def on_hint(self, event: PeerMessageArrived) -> list[Effect]:
         """Cache a flow's owner; evict the least recently used entry beyond the limit."""
         self.hints[event.message.flow] = event.message.owner_id
--- a/src/heatheryoke/core/home.py
+++ b/src/heatheryoke/core/home.py
@@ -202,8 +202,7 @@
         self, message: Forward, service: Service, generation: int, now: float
     ) -> list[Effect]:
         """Add this host's load to a new flow's packet; pass it on or choose the owner."""
-        view = self.topology.service_view(service.name)
-        candidates = [host for host in view.candidates(message.flow) if self.is_usable(host)]
+        candidates = self.usable_candidates(message.flow, service)
         opens_feed = self.opens_feed(message, service)
         visit = Visit(name_hash(self.host_name), self.load(service.name, opens_feed, now))
         if not opens_feed:
@@ -212,18 +211,30 @@
                 return self.become_owner(message, service, generation, now)
         self.pending_offers.add(now)
         visited = (*message.visited, visit)
-        outgoing = message._replace(visited=visited, generation=generation)
-        next_host = self.placement.next_candidate(candidates, visited)
+        visited_message = message._replace(visited=visited, generation=generation)
+        return self.continue_placement(visited_message, service, candidates, now)
+
+    def continue_placement(
+        self, message: Forward, service: Service, candidates: list[Host], now: float
+    ) -> list[Effect]:
+        """Pass a new flow's packet on to the next candidate, or to the one chosen as its owner."""
+        generation = message.generation
+        next_host = self.placement.next_candidate(candidates, message.visited)
         if next_host is not None:
             self.directory.add_tentative(message.flow, next_host.name, generation, False, now)
-            return self.pass_on(outgoing, next_host)
-        chosen = self.placement.choose(candidates, visited)
+            return self.pass_on(message, next_host)
+        chosen = self.placement.choose(candidates, message.visited)
         if chosen is None:
             return self.refuse_flow(message, service)
         if chosen.name == self.host_name:
             return self.become_owner(message, service, generation, now)
         self.directory.add_tentative(message.flow, chosen.name, generation, True, now)
-        return self.pass_on(outgoing._replace(assigned=True), chosen)
+        return self.pass_on(message._replace(assigned=True), chosen)
+
+    def usable_candidates(self, flow: FlowKey, service: Service) -> list[Host]:
+        """Return the hosts that may own a new flow and are usable, in rendezvous order."""
+        view = self.topology.service_view(service.name)
+        return [host for host in view.candidates(flow) if self.is_usable(host)]
 
     def may_keep(self, service: str, candidates: list[Host], load: float, now: float) -> bool:
         """Return whether the first home may own a flow without asking others.
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -26,12 +26,16 @@
     "Forward",
     "Heartbeat",
     "Hint",
+    "OpeningAck",
     "PeerMessage",
+    "Ping",
+    "Pong",
     "RecoveryReply",
     "RecoveryRequest",
     "Registration",
     "Registrations",
     "RegistrationsAck",
+    "Relayed",
     "ResultReply",
     "ResultRequest",
     "ResultState",
@@ -80,6 +84,28 @@
     owner_id: int
 
 
+class OpeningAck(NamedTuple):
+    """Acknowledges to the sender of a flow's first packet that it has arrived."""
+
+    flow: FlowKey
+
+
+class Ping(NamedTuple):
+    """Asks for a `Pong`, to find out whether its receiver is within reach."""
+
+
+class Pong(NamedTuple):
+    """Acknowledges a `Ping`."""
+
+
+class Relayed(NamedTuple):
+    """A message for a host that its sender, `origin`, cannot reach, for the receiver to send on."""
+
+    origin: Address
+    to: Address
+    message: "Forward | PeerMessage"
+
+
 class Registration(NamedTuple):
     """A flow as its owner reports it to the flow's homes.
 
@@ -327,6 +353,10 @@
 
 PeerMessage = (
     Hint
+    | OpeningAck
+    | Ping
+    | Pong
+    | Relayed
     | Registrations
     | RegistrationsAck
     | Yield
--- a/src/heatheryoke/core/routed_topology.py
+++ b/src/heatheryoke/core/routed_topology.py
@@ -58,12 +58,20 @@
 
     def homes(self, flow: FlowKey) -> list[Host]:
         """Return the hosts that keep the flow's directory entry, independent of its service."""
-        slot = xxhash.xxh32_intdigest(flow) & (HOME_SLOTS - 1)
+        slot = self.slot_of(flow)
         homes = self.homes_by_slot.get(slot)
         if homes is None:
             homes = self.homes_by_slot[slot] = choose_across_domains(self.ranked(slot), HOME_COUNT)
         return homes
 
+    def slot_of(self, flow: FlowKey) -> int:
+        """Return the slot that a flow is hashed into."""
+        return xxhash.xxh32_intdigest(flow) & (HOME_SLOTS - 1)
+
+    def ranked_hosts(self, flow: FlowKey) -> list[Host]:
+        """Return the hosts that are not leaving, the flow's homes among the first."""
+        return self.ranked(self.slot_of(flow))
+
     def ranked(self, slot: int) -> list[Host]:
         """Return the hosts that are not leaving, in rendezvous order for a slot."""
         key = slot.to_bytes(4, "big")
--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -131,17 +131,8 @@
         earlier_visits = tuple(visit for visit in message.visited if visit.host_id != self.own_id)
         visited = (*earlier_visits, Visit(self.own_id, inf))
         outgoing = message._replace(assigned=False, visited=visited)
-        view = self.topology.service_view(service.name)
-        candidates = [host for host in view.candidates(message.flow) if self.is_usable(host)]
-        next_host = self.placement.next_candidate(candidates, visited)
-        if next_host is not None:
-            self.directory.add_tentative(message.flow, next_host.name, 0, False, now)
-            return self.pass_on(outgoing, next_host)
-        chosen = self.placement.choose(candidates, visited)
-        if chosen is None or chosen.name == self.host_name:
-            return self.refuse_flow(outgoing, service)
-        self.directory.add_tentative(message.flow, chosen.name, 0, True, now)
-        return self.pass_on(outgoing._replace(assigned=True), chosen)
+        candidates = self.usable_candidates(message.flow, service)
+        return self.continue_placement(outgoing, service, candidates, now)
 
     def on_opening_returned(
         self, owned: OwnedStream | None, flow: FlowKey, payload: bytes, now: float
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -6,6 +6,7 @@
 from heatheryoke.core.directory import Directory
 from heatheryoke.core.effects import Count, Effect, SendPeer
 from heatheryoke.core.events import ForwardArrived, PeerMessageArrived
+from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest
 from heatheryoke.core.stream_search import StreamSearch
 from heatheryoke.inventory.checks import name_hash
@@ -42,6 +43,7 @@
         if self.is_muted():
             return [*effects, Count("dropped_no_view")]
         message, now = event.message, event.now
+        effects += self.acknowledge(event.sender, message)
         self.note_balancer(message.via, now)
         head = self.codec.read_header(message.payload)
         owned = self.flows.flows.get(message.flow)
@@ -69,8 +71,27 @@
         message = message._replace(service_id=name_hash(service.name), place_here=passed_on)
         if self.host_name not in self.topology.hosts:
             return self.pass_on_outside_view(message, service, event.now)
+        if not passed_on and not self.is_home_usable(message.flow):
+            message = message._replace(place_here=True)
         return self.route(message, service, event.now)
 
+    def is_home_usable(self, flow: FlowKey) -> bool:
+        """Return whether any home of a flow is within reach, or is this host."""
+        return any(self.is_usable(home) for home in self.topology.homes(flow))
+
+    def resend_opening(self, message: Forward, now: float) -> list[Effect]:
+        """Pass a first packet to another candidate than the one that has not acknowledged it."""
+        service = self.topology.service_of(message.flow)
+        if service is None or message.flow in self.flows.flows:
+            return [Count("dropped_wrong_service" if service is None else "openings_repeated")]
+        message = message._replace(assigned=False, place_here=True)
+        if self.host_name not in self.topology.hosts:
+            return self.pass_on_outside_view(message, service, now)
+        if not message.visited:
+            return self.route(message, service, now)
+        candidates = self.usable_candidates(message.flow, service)
+        return self.continue_placement(message, service, candidates, now)
+
     def pass_on_outside_view(self, message: Forward, service: Service, now: float) -> list[Effect]:
         """Pass a new flow on while this process's view lacks its own upstream."""
         if message.visited or message.assigned:
--- a/src/heatheryoke/core/stream_balancer.py
+++ b/src/heatheryoke/core/stream_balancer.py
@@ -6,9 +6,10 @@
 from heatheryoke.core.events import CallerPacket
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.forwarder import Forwarder
-from heatheryoke.core.store_node import StoreNode
+from heatheryoke.core.linked_node import LinkedNode
+from heatheryoke.core.messages import HOP_LIMIT, Forward
 from heatheryoke.core.streams import StreamCodec, StreamHeader
-from heatheryoke.inventory.model import Host
+from heatheryoke.inventory.model import Address, Host
 
 __all__ = ["StreamBalancer"]
 
@@ -25,7 +26,7 @@
 STOP_LIMIT_S = 4.0
 
 
-class StreamBalancer(Forwarder, StoreNode):
+class StreamBalancer(Forwarder, LinkedNode):
     """Forwards each packet to its flow's owner if that is cached, else to one of the homes."""
 
     def __init__(self, host_name: str, incarnation: int, codec: StreamCodec, **options: Any):
@@ -48,14 +49,44 @@
         return [SendForward(host.address, self.forward(event, service, head.kind))]
 
     def choose_host(self, flow: FlowKey, head: StreamHeader) -> Host | None:
-        """Return the cached owner, else a home; copies of a first packet alternate between them."""
+        """Return the cached owner, else a home; copies of a first packet alternate between them.
+
+        While both homes are out of reach, another host takes their place.
+        """
         owner = None if head.opens else self.cached_owner(flow)
         if owner is not None:
             return owner
-        homes = [home for home in self.topology.homes(flow) if self.is_usable(home)]
-        if not homes:
-            return None
-        return homes[head.acknowledged % len(homes)] if head.opens else homes[0]
+        homes = self.topology.homes(flow)
+        usable = [home for home in homes if self.is_usable(home)]
+        if not usable:
+            return self.choose_substitute(flow) or (homes[0] if homes else None)
+        return usable[head.acknowledged % len(usable)] if head.opens else usable[0]
+
+    def choose_substitute(self, flow: FlowKey) -> Host | None:
+        """Return the first host by rank that is within reach, None if there is none."""
+        ranked = self.topology.ranked_hosts(flow)
+        return next((host for host in ranked if self.is_usable(host)), None)
+
+    def resend_opening(self, message: Forward, now: float) -> list[Effect]:
+        """Send a first packet to another home, or to a host that takes the homes' place."""
+        head = self.codec.read_header(message.payload)
+        host = self.choose_host(message.flow, head)
+        if host is None:
+            return [Count("dropped_no_host")]
+        return [SendForward(host.address, message._replace(hops=HOP_LIMIT))]
+
+    @property
+    def peer_address(self) -> Address:
+        """The address at which this process receives messages from others."""
+        return self.address
+
+    def keeps_flows(self, owner: Host) -> bool:
+        """Return whether a host is in the view; one out of reach keeps its flows."""
+        return owner.name in self.topology.hosts
+
+    def is_ready(self) -> bool:
+        """Return whether callers' packets may be sent to this process, which reaches an agent."""
+        return super().is_ready() and not self.is_isolated()
 
     def refuse(self, flow: FlowKey) -> list[Effect]:
         """Reset a flow whose address has no route."""
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -15,10 +15,10 @@
 from heatheryoke.core.events import UpstreamPacket
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.home import Home
+from heatheryoke.core.linked_node import LinkedNode
 from heatheryoke.core.messages import Forward, Hint
 from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.core.service_times import ServiceTimes
-from heatheryoke.core.store_node import StoreNode
 from heatheryoke.core.streams import OwnedStream, StreamCodec, StreamHeader
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address, Endpoint
@@ -34,7 +34,7 @@
 OPENING_S = 0.1
 
 
-class StreamOwner(Home, StoreNode):
+class StreamOwner(Home, LinkedNode):
     """Delivers packets to its upstream and tracks each stream's state from the packets seen."""
 
     def __init__(
@@ -62,6 +62,11 @@
         self.offered: OrderedDict[FlowKey, Forward] = OrderedDict()
         self.event_handlers[UpstreamPacket] = self.on_upstream_packet
 
+    @property
+    def peer_address(self) -> Address:
+        """The address at which this process receives messages from others."""
+        return Address(self.host_name, self.view.peer_port)
+
     @abstractmethod
     def on_returned(self, event: UpstreamPacket, head: StreamHeader) -> list[Effect]:
         """Forward a packet elsewhere that the upstream returned, or reset its flow."""
--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -89,11 +89,19 @@
         peers = self.topology.service_view(service.name).ranked(flow) if service else []
         all_hosts = self.topology.document.hosts
         for host in (*self.topology.homes(flow), *former, *peers, *all_hosts):
-            if name_hash(host.name) not in asked_ids and host.name in self.topology.hosts:
+            if name_hash(host.name) not in asked_ids and self.is_in_reach(host):
                 return host.address
         names = self.hosts_outside_view(asked_ids)
         return self.restarted_hosts[names[0]] if names else None
 
+    def is_in_reach(self, host: Host) -> bool:
+        """Return whether a host is in the view and can be reached, at least through a relay."""
+        if host.name not in self.topology.hosts:
+            return False
+        if self.reachability.is_domain_reachable(host.failure_domain):
+            return True
+        return self.choose_relay(host) is not None
+
     def hosts_outside_view(self, asked_ids: set[int]) -> list[str]:
         """Return the hosts that sent a recovery request, are not in the view and were not asked."""
         names = [name for name in self.restarted_hosts if name not in self.topology.hosts]
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -19,6 +19,7 @@
     LogFlow,
     Measure,
     PostponeStoreRead,
+    ScheduleTick,
     SendForward,
     SendPeer,
     Stopped,
@@ -100,6 +101,7 @@
         )
         self.watch_task: asyncio.Task[None] | None = None
         self.ticker: asyncio.TimerHandle | None = None
+        self.early_tick: asyncio.TimerHandle | None = None
         self.stopped = asyncio.Event()
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
             SendForward: self.send,
@@ -112,6 +114,7 @@
             LogChange: self.record.log_change,
             LogFlow: self.record.log_flow,
             PostponeStoreRead: lambda effect: self.watch.postpone_call(*effect),
+            ScheduleTick: self.schedule_tick,
             Stopped: self.set_stopped,
         }
 
@@ -182,8 +185,9 @@
 
     def close(self) -> None:
         """Close all sockets and end all tasks immediately."""
-        if self.ticker is not None:
-            self.ticker.cancel()
+        for timer in (self.ticker, self.early_tick):
+            if timer is not None:
+                timer.cancel()
         if self.watch_task is not None:
             self.watch_task.cancel()
         self.server.close()
@@ -232,6 +236,17 @@
         self.step(Tick(self.clock()))
         self.check_settings()
 
+    def schedule_tick(self, effect: ScheduleTick) -> None:
+        """Process one more tick after a delay, unless one is scheduled already."""
+        if self.early_tick is None:
+            loop = asyncio.get_running_loop()
+            self.early_tick = loop.call_later(effect.delay_s, self.process_early_tick)
+
+    def process_early_tick(self) -> None:
+        """Process a tick between the regular ones."""
+        self.early_tick = None
+        self.step(Tick(self.clock()))
+
     def on_items_read(self, items: tuple[StoreItem, ...], revision: int) -> None:
         """Process a complete read of the store."""
         self.step(StoreRead(self.clock(), items, revision))
--- a/src/heatheryoke/daemons/stream_roles.py
+++ b/src/heatheryoke/daemons/stream_roles.py
@@ -35,6 +35,7 @@
             time.time_ns(),
             self.codec,
             address=self.peer_address,
+            failure_domain=self.settings.failure_domain,
             peer_port=self.peer_address.port,
         )
 
@@ -73,6 +74,7 @@
             settings.upstream,
             first_start=settings.first_start,
             flow_lifetime_s=settings.flow_lifetime_s,
+            failure_domain=settings.failure_domain,
             peer_port=self.peer_address.port,
         )
 
--- a/src/heatheryoke/wire/peers.py
+++ b/src/heatheryoke/wire/peers.py
@@ -10,6 +10,7 @@
 They are received on a separate port that callers cannot reach.
 """
 
+import socket
 import struct
 from collections.abc import Callable
 from math import isfinite
@@ -19,11 +20,15 @@
 from heatheryoke.core.messages import (
     Forward,
     Hint,
+    OpeningAck,
     PeerMessage,
+    Ping,
+    Pong,
     RecoveryRequest,
     Registration,
     Registrations,
     RegistrationsAck,
+    Relayed,
     StoreUpdate,
     Yield,
 )
@@ -37,6 +42,8 @@
 VERSION = 1
 HEADER = struct.Struct("!2sBBQ")
 HINT = struct.Struct("!13sQ")
+OPENING_ACK = struct.Struct("!13s")
+RELAYED_HEADER = struct.Struct("!4sH4sHB")
 BATCH = struct.Struct("!I")
 NAME_LENGTH = struct.Struct("!B")
 RECOVERY_REQUEST = struct.Struct("!QI")
@@ -153,6 +160,34 @@
     return message
 
 
+def _encode_relayed(message: Relayed) -> bytes:
+    inner = FORMATS[type(message.message)]
+    header = RELAYED_HEADER.pack(
+        socket.inet_aton(message.origin.ip),
+        message.origin.port,
+        socket.inet_aton(message.to.ip),
+        message.to.port,
+        inner.kind,
+    )
+    return header + inner.encode(message.message)
+
+
+def _decode_relayed(body: bytes) -> Relayed:
+    origin_ip, origin_port, ip, port, kind = RELAYED_HEADER.unpack_from(body)
+    decode = DECODERS.get(kind)
+    if decode is None or decode is _decode_relayed:
+        raise ValueError(f"kind {kind} cannot be relayed")
+    origin = Address(socket.inet_ntoa(origin_ip), origin_port)
+    to = Address(socket.inet_ntoa(ip), port)
+    return Relayed(origin, to, decode(body[RELAYED_HEADER.size :]))
+
+
+def _decode_empty(message_type: Callable[[], Any], body: bytes) -> Any:
+    if body:
+        raise ValueError(f"{len(body)} unexpected bytes")
+    return message_type()
+
+
 class MessageFormat(NamedTuple):
     """The number, encoder and decoder of one kind of message."""
 
@@ -175,6 +210,12 @@
         _decode_recovery,
     ),
     StoreUpdate: MessageFormat(7, _encode_store_update, _decode_store_update),
+    OpeningAck: MessageFormat(
+        8, lambda m: OPENING_ACK.pack(*m), lambda b: OpeningAck(*OPENING_ACK.unpack(b))
+    ),
+    Ping: MessageFormat(9, lambda m: b"", lambda b: _decode_empty(Ping, b)),
+    Pong: MessageFormat(10, lambda m: b"", lambda b: _decode_empty(Pong, b)),
+    Relayed: MessageFormat(11, _encode_relayed, _decode_relayed),
 }
 DECODERS = {message_format.kind: message_format.decode for message_format in FORMATS.values()}
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -31,7 +31,7 @@
     UpstreamPacket,
 )
 from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key
-from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, RecoveryRequest, Visit
+from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Pong, RecoveryRequest, Visit
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
@@ -420,7 +420,10 @@
     def test_agent_without_its_upstream_in_the_view_probes_it(self):
         agent, flow = make_agent(number=9, first_start=False), flow_of(1)
         data = forward(flow, packet(flow, ACK, 2, 501), now=NOW + 0.2)
-        assert of_kind(agent.reduce(Tick(NOW + 0.1)), ProbeUpstream)
+        effects = agent.reduce(Tick(NOW + 0.1))
+        assert of_kind(effects, ProbeUpstream)
+        for ping in of_kind(effects, SendPeer):
+            agent.reduce(PeerMessageArrived(NOW + 0.1, ping.to, 3, Pong()))
         assert not of_kind(agent.reduce(Tick(NOW + 0.2)), ProbeUpstream)
         assert of_kind(agent.reduce(data), Deliver)
         agent.reduce(UpstreamDown(NOW + 0.3))
