Walk one failure domain after the other in a search, and let it end on large sites

Cause: the search for the owner of an unknown flow asked host after host by their order in the view, so that nearly every hop crossed failure domains, carried 12 bytes per host asked, and ended after 80 hosts: with 136 agents no flow was ever called lost, and its caller waited. Change: homes, former homes and five likely owners first, then the near domain, then the others one by one. A search carries 4 bytes per host asked, apart from the visits of a new flow (one field no longer means two things), and asks up to 250 hosts. A packet that the upstream has returned is not offered to it again. Ruled out for now: asking a fixed number of hosts (a reset of a flow that a host ranked lower holds would break it; only all hosts together can tell); all hosts at once (as many messages).

--- a/src/heatheryoke/cli.py
+++ b/src/heatheryoke/cli.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 from itertools import product
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import aiohttp
 import typer
@@ -364,19 +364,26 @@
         Path | None, typer.Option(help="With --all: the folder for an HTML report.")
     ] = None,
     list_scenarios: Annotated[bool, typer.Option("--list", help="List the scenarios.")] = False,
+    streams: Annotated[
+        bool, typer.Option(help="Measure the byte-stream form; policies heatheryoke, rendezvous.")
+    ] = False,
 ) -> None:
     """Measure the reducers in virtual time.
 
     Example: heatheryoke measure domain-leaves --deployment sangam --policy naive --json
     """
     from heatheryoke.measure.scenarios import SCENARIOS, run_scenario
+    from heatheryoke.measure.stream_scenarios import STREAM_SCENARIOS
     from heatheryoke.measure.world import POLICIES
     from heatheryoke.standins.deployments import DEPLOYMENTS
 
     if list_scenarios:
-        for name, definition in SCENARIOS.items():
+        for name, definition in (STREAM_SCENARIOS if streams else SCENARIOS).items():
             console.print(f"{name:20}{definition.title}", highlight=False)
         return
+    if streams:
+        _measure_streams(scenario, policy, seed, as_json)
+        return
     if run_all:
         _measure_all(seeds, report)
         return
@@ -384,10 +391,28 @@
         if value not in allowed:
             _exit_invalid((f"{value!r} is not one of {', '.join(allowed)}",))
     figures = run_scenario(scenario, deployment, policy, seed)._asdict()
+    _print_figures(figures, f"{scenario}: {SCENARIOS[scenario].title}", as_json)
+
+
+def _measure_streams(scenario: str, policy: str, seed: int, as_json: bool) -> None:
+    from heatheryoke.measure.stream_scenarios import (
+        STREAM_POLICIES,
+        STREAM_SCENARIOS,
+        run_stream_scenario,
+    )
+
+    for value, allowed in ((scenario, STREAM_SCENARIOS), (policy, STREAM_POLICIES)):
+        if value not in allowed:
+            _exit_invalid((f"{value!r} is not one of {', '.join(allowed)}",))
+    figures = run_stream_scenario(scenario, policy, seed)._asdict()
+    _print_figures(figures, f"{scenario}: {STREAM_SCENARIOS[scenario].title}", as_json)
+
+
+def _print_figures(figures: dict[str, Any], title: str, as_json: bool) -> None:
     if as_json:
         sys.stdout.write(json.dumps(figures, sort_keys=True) + "\n")
         return
-    table = Table("figure", "value", title=f"{scenario}: {SCENARIOS[scenario].title}")
+    table = Table("figure", "value", title=title)
     for name, value in figures.items():
         table.add_row(name, "-" if value is None else str(value))
     console.print(table)
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -39,6 +39,7 @@
     "ResultReply",
     "ResultRequest",
     "ResultState",
+    "Search",
     "StoreUpdate",
     "Visit",
     "WitnessSet",
@@ -55,6 +56,17 @@
     load: float
 
 
+class Search(NamedTuple):
+    """Progress of the search for the owner of an unknown flow.
+
+    `asked` are the hosts that do not hold it, by the low 32 bits of their ids. `longest_uptime_s`
+    is the longest time that any of their processes has run.
+    """
+
+    asked: tuple[int, ...] = ()
+    longest_uptime_s: float = 0.0
+
+
 class Forward(NamedTuple):
     """A caller's packet on its way to the owner of its flow.
 
@@ -75,6 +87,7 @@
     place_here: bool = False
     local_port: int = 0
     generation: int = 0
+    search: Search = Search()
 
 
 class Hint(NamedTuple):
--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -2,8 +2,16 @@
 
 The upstream is authoritative: it returns each packet of a flow that it does not hold. So an agent
 loses no flow when it restarts; it delivers packets of unknown flows to its upstream to find out.
+
+Load pattern: all hosts lose power, and the callers of all open flows send packets that every host
+must be asked about. So the search asks the likely owners first, and then one failure domain after
+the other, since a hop between domains costs far more time and bandwidth than one within.
 """
 
+from collections import OrderedDict
+from collections.abc import Iterator
+from functools import lru_cache
+from itertools import chain, islice
 from typing import Any
 
 from heatheryoke.core.effects import (
@@ -19,7 +27,7 @@
 from heatheryoke.core.events import PeerMessageArrived, UpstreamDown, UpstreamPacket
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.forwarder import NO_ADDRESS
-from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest, Visit
+from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest, Search
 from heatheryoke.core.stream_admission import StreamAdmission
 from heatheryoke.core.streams import StreamHeader
 from heatheryoke.inventory.checks import name_hash
@@ -29,8 +37,15 @@
 
 # Packets of unknown flows that the upstream may still return; the oldest are dropped beyond this.
 MAXIMUM_OFFERED = 2_000
-# Hosts asked about one packet: at about 1 ms each, well within the first retransmission (200 ms).
-MAXIMUM_ASKED = 80
+# Hosts asked about one packet: at about 0.5 ms each within a failure domain, the last is asked
+# before the second retransmission (600 ms). Larger fleets leave a lost flow to its deadline.
+MAXIMUM_ASKED = 250
+# Candidates of the flow's service that are asked before all other hosts: placement visits three,
+# and the two more allow for hosts that joined since.
+LIKELY_OWNERS = 5
+# Asked hosts beyond which the homes, former homes and likely owners have all been asked.
+FIRST_ASKED = 4 + LIKELY_OWNERS
+SHORT_ID_MASK = 0xFFFFFFFF
 # Hosts remembered that have sent a recovery request: the largest fleet that is designed for.
 MAXIMUM_RESTARTED_HOSTS = 11_000
 # Interval at which an agent probes its upstream: several times within a recovery (12 s).
@@ -48,24 +63,26 @@
         self.may_hold_unknown_until = self.started + (0.0 if first_start else self.flow_lifetime_s)
         self.restarted_hosts: dict[str, Address] = {}
         self.next_probe = self.started
+        self.own_short_id = self.own_id & SHORT_ID_MASK
+        self.returned: OrderedDict[FlowKey, None] = OrderedDict()
         self.message_handlers[RecoveryRequest] = self.on_recovery_request
         self.event_handlers[UpstreamDown] = self.on_upstream_down
 
     def forward_unknown(self, message: Forward, now: float) -> list[Effect]:
         """Forward a packet of an unknown flow to the next host that may own it."""
         flow = message.flow
-        asked_ids = {visit.host_id for visit in message.visited}
+        asked = message.search.asked
         entry = self.directory.find(flow, now)
         if entry is not None and entry.registration.owner != self.host_name:
             owner = self.topology.hosts.get(entry.registration.owner)
-            if owner is not None and name_hash(owner.name) not in asked_ids:
+            if owner is not None and short_id(owner.name) not in asked:
                 return self.pass_on(message, owner)
-        if now < self.may_hold_unknown_until and self.own_id not in asked_ids:
-            return self.offer(message)
-        if self.own_id not in asked_ids:
-            message = self.with_visit(message, now)
-            asked_ids.add(self.own_id)
-        address = self.next_host_to_ask(flow, asked_ids, now)
+        if self.own_short_id not in asked:
+            if now < self.may_hold_unknown_until and flow not in self.returned:
+                return self.offer(message)
+            message = self.with_own_answer(message, now)
+            asked = message.search.asked
+        address = self.next_host_to_ask(flow, asked, now)
         if address is not None:
             return [SendForward(address, message)]
         if self.host_name not in self.topology.hosts:
@@ -75,25 +92,37 @@
             return self.reset_lost(message, "no upstream holds the flow")
         return [Count("dropped_no_owner")]
 
-    def next_host_to_ask(self, flow: FlowKey, asked_ids: set[int], now: float) -> Address | None:
+    def next_host_to_ask(self, flow: FlowKey, asked: tuple[int, ...], now: float) -> Address | None:
         """Return the address of the next host to ask about a flow, None to end the search.
 
-        The order is: homes, former homes, the service's agents by rank, all other hosts. Each host
-        is asked once, and at most `MAXIMUM_ASKED` are. Hosts that sent a recovery request but are
-        not in the view come last: they may be gone, and then the search ends there.
+        Each host is asked once, and at most `MAXIMUM_ASKED` are. Hosts that sent a recovery request
+        but are not in the view come last: they may be gone, and then the search ends there.
         """
-        if len(asked_ids) >= MAXIMUM_ASKED:
+        if len(asked) >= MAXIMUM_ASKED:
             return None
-        former = self.former_homes("", flow, now, self.flow_lifetime_s)
-        service = self.topology.service_of(flow)
-        peers = self.topology.service_view(service.name).ranked(flow) if service else []
-        all_hosts = self.topology.document.hosts
-        for host in (*self.topology.homes(flow), *former, *peers, *all_hosts):
-            if name_hash(host.name) not in asked_ids and self.is_in_reach(host):
+        likely = self.likely_owners(flow, now) if len(asked) <= FIRST_ASKED else ()
+        asked_ids = set(asked)
+        for host in chain(likely, self.hosts_by_distance()):
+            if short_id(host.name) not in asked_ids and self.is_in_reach(host):
                 return host.address
         names = self.hosts_outside_view(asked_ids)
         return self.restarted_hosts[names[0]] if names else None
 
+    def likely_owners(self, flow: FlowKey, now: float) -> list[Host]:
+        """Return a flow's homes, its former homes and the first candidates of its service."""
+        former = self.former_homes("", flow, now, self.flow_lifetime_s)
+        service = self.topology.service_of(flow)
+        peers = self.topology.service_view(service.name).ranked(flow) if service else []
+        return [*self.topology.homes(flow), *former, *islice(peers, LIKELY_OWNERS)]
+
+    def hosts_by_distance(self) -> Iterator[Host]:
+        """Return all other hosts, those of this host's failure domain first."""
+        own_domain = self.hosts_by_domain.get(self.failure_domain, [])
+        others = (
+            hosts for domain, hosts in self.hosts_by_domain.items() if domain != self.failure_domain
+        )
+        return chain(own_domain, chain.from_iterable(others))
+
     def is_in_reach(self, host: Host) -> bool:
         """Return whether a host is in the view and can be reached, at least through a relay."""
         if host.name not in self.topology.hosts:
@@ -105,7 +134,7 @@
     def hosts_outside_view(self, asked_ids: set[int]) -> list[str]:
         """Return the hosts that sent a recovery request, are not in the view and were not asked."""
         names = [name for name in self.restarted_hosts if name not in self.topology.hosts]
-        return [name for name in names if name_hash(name) not in asked_ids]
+        return [name for name in names if short_id(name) not in asked_ids]
 
     def offer(self, message: Forward) -> list[Effect]:
         """Deliver a packet of an unknown flow; the upstream returns it if it lacks the flow."""
@@ -115,10 +144,11 @@
             self.offered.popitem(last=False)
         return [Count("packets_offered"), Deliver(message.flow, message.payload)]
 
-    def with_visit(self, message: Forward, now: float) -> Forward:
+    def with_own_answer(self, message: Forward, now: float) -> Forward:
         """Record in a packet that this host does not hold its flow, with this process's uptime."""
-        visit = Visit(self.own_id, now - self.started)
-        return message._replace(visited=(*message.visited, visit))
+        asked = (*message.search.asked, self.own_short_id)
+        uptime_s = max(message.search.longest_uptime_s, now - self.started)
+        return message._replace(search=Search(asked, uptime_s))
 
     def on_returned(self, event: UpstreamPacket, head: StreamHeader) -> list[Effect]:
         """Forward a packet elsewhere that the upstream returned, or reset its flow."""
@@ -142,8 +172,16 @@
             message = Forward(
                 flow, name_hash(service.name), PacketKind.BELONGS, HOP_LIMIT, NO_ADDRESS, payload
             )
-        marked = self.with_visit(message._replace(payload=payload), now)
-        return [*gone, Count("packets_returned"), *self.forward_unknown(marked, now)]
+        self.note_returned(flow)
+        answered = self.with_own_answer(message._replace(payload=payload), now)
+        return [*gone, Count("packets_returned"), *self.forward_unknown(answered, now)]
+
+    def note_returned(self, flow: FlowKey) -> None:
+        """Record that the upstream does not hold a flow; it need not be asked again."""
+        self.returned[flow] = None
+        self.returned.move_to_end(flow)
+        if len(self.returned) > MAXIMUM_OFFERED:
+            self.returned.popitem(last=False)
 
     def is_flow_lost(self, message: Forward, now: float) -> bool:
         """Return whether a flow that none of the asked hosts knows is lost.
@@ -153,13 +191,13 @@
         request but are not in the view: then the upstreams lost power too, since otherwise one of
         them would have kept the packet.
         """
-        asked_ids = {visit.host_id for visit in message.visited}
-        if not self.topology.hosts_by_id.keys() <= asked_ids:
+        asked_ids = set(message.search.asked)
+        if not all(short_id(name) in asked_ids for name in self.topology.hosts):
             return False
         if self.view.is_settled(now):
             return True
-        oldest = max(visit.load for visit in message.visited)
-        return oldest < POWER_LOSS_WINDOW_S and not self.hosts_outside_view(asked_ids)
+        is_power_loss = message.search.longest_uptime_s < POWER_LOSS_WINDOW_S
+        return is_power_loss and not self.hosts_outside_view(asked_ids)
 
     def probe(self, now: float) -> list[Effect]:
         """Probe whether the upstream runs, while it is not in the view.
@@ -186,7 +224,7 @@
             return [Count("dropped_no_owner")]
         facts = (
             ("reason", reason),
-            ("asked", len(message.visited)),
+            ("asked", len(message.search.asked)),
             *self.decision_facts(self.last_event),
         )
         return [
@@ -214,3 +252,9 @@
                 registration = owned.registration(self.host_name)
                 self.registrar.outbox.setdefault(restarted, {})[owned.flow] = registration
         return self.registrar.flush(self.flows, self.topology, event.now)
+
+
+@lru_cache(maxsize=MAXIMUM_RESTARTED_HOSTS)
+def short_id(host_name: str) -> int:
+    """Return the id of a host in a search."""
+    return name_hash(host_name) & SHORT_ID_MASK
--- a/src/heatheryoke/measure/scenarios.py
+++ b/src/heatheryoke/measure/scenarios.py
@@ -131,6 +131,26 @@
     _at(world, 22.0, world.network.heal)
 
 
+def _zone_cut(world: World) -> None:
+    """Cut one failure domain off from all others, twice."""
+
+    def cut_off() -> None:
+        others = {host.failure_domain for host in world.document.hosts} - {"domain-1"}
+        for other in sorted(others):
+            world.network.cut("domain-1", other)
+            world.network.cut(other, "domain-1")
+
+    for start_s, end_s in ((3.0, 9.0), (14.0, 22.0)):
+        _at(world, start_s, cut_off)
+        _at(world, end_s, world.network.heal)
+
+
+def _one_way(world: World) -> None:
+    """Lose every datagram from one failure domain to another, but none the other way."""
+    _at(world, 3.0, lambda: world.network.cut("domain-2", "domain-1"))
+    _at(world, 12.0, world.network.heal)
+
+
 def _storm(world: World) -> None:
     """Combine several scenarios with pauses and restarts at random times, over a lossy network."""
     world.network.faults = LinkFaults(drop=0.005, duplicate=0.01, jitter_s=0.01)
@@ -160,6 +180,8 @@
     "freeze": Scenario("processes pause for 2 to 20 s", _freeze),
     "platform-down": Scenario("the configuration service is down", _platform_down),
     "partition": Scenario("two failure domains are cut off from each other", _partition),
+    "zone-cut": Scenario("a failure domain is cut off from all others, twice", _zone_cut),
+    "one-way": Scenario("packets pass one way between two failure domains", _one_way),
     "storm": Scenario("several scenarios combined, over a lossy network", _storm, 90.0),
 }
 
--- /dev/null
+++ b/src/heatheryoke/measure/stream_scenarios.py
@@ -0,0 +1,96 @@
+"""Scenarios of byte streams: failure domains that cannot reach each other, and hosts that stop."""
+
+from collections.abc import Callable
+from math import inf
+from typing import NamedTuple
+
+from heatheryoke.core.stream_agent import StreamAgent
+from heatheryoke.core.stream_balancer import StreamBalancer
+from heatheryoke.measure.stream_baseline import RendezvousAgent, RendezvousBalancer
+from heatheryoke.measure.stream_world import Roles, StreamSite, StreamWorld
+
+__all__ = ["STREAM_POLICIES", "STREAM_SCENARIOS", "StreamFigures", "run_stream_scenario"]
+
+# Times of the fault and of its end, and of the last request; before the fault is the warm-up.
+FAULT_AT_S = 5.0
+FAULT_END_S = 10.0
+LOAD_END_S = 13.0
+END_S = 18.0
+# Time within which a fault is found, and the bound that the figures are split at.
+FOUND_WITHIN_S = 0.6
+
+STREAM_POLICIES = {
+    "heatheryoke": Roles(StreamBalancer, StreamAgent),
+    "rendezvous": Roles(RendezvousBalancer, RendezvousAgent),
+}
+
+
+class StreamScenario(NamedTuple):
+    """A scenario; `begin` causes its fault, which ends when the network heals."""
+
+    title: str
+    begin: Callable[[StreamWorld], None]
+
+
+def _stop_agents(world: StreamWorld) -> None:
+    """Stop every fourth agent for good; its upstream goes with it."""
+    for agent in world.agents[::4]:
+        agent.is_up = False
+
+
+STREAM_SCENARIOS = {
+    "zone-cut": StreamScenario("a failure domain is cut off", lambda w: w.cut_off("a")),
+    "bridge-cut": StreamScenario("two domains lose each other", lambda w: w.cut("a", "b")),
+    "one-way": StreamScenario(
+        "packets pass one way between two domains", lambda w: w.cut("a", "b", both_ways=False)
+    ),
+    "agents-stop": StreamScenario("a quarter of the agents stops", _stop_agents),
+}
+
+
+class StreamFigures(NamedTuple):
+    """Shares of requests that met their target, by when they started, and what went wrong."""
+
+    scenario: str
+    policy: str
+    seed: int
+    requests: int
+    in_time_before: float
+    in_time_at_first: float
+    in_time_during: float
+    in_time_after: float
+    unserved: int
+    run_twice: int
+    control_messages_per_s: float
+
+
+def run_stream_scenario(scenario: str, policy: str, seed: int) -> StreamFigures:
+    """Run one scenario and return its figures."""
+    world = StreamWorld(StreamSite(), seed, STREAM_POLICIES[policy])
+    world.offer_load(LOAD_END_S)
+    world.run_until(FAULT_AT_S)
+    STREAM_SCENARIOS[scenario].begin(world)
+    world.run_until(FAULT_END_S)
+    world.network.heal()
+    world.run_until(END_S)
+    found_at_s = FAULT_AT_S + FOUND_WITHIN_S
+    runs = world.runs()
+    sent = sum(
+        count
+        for process in world.processes.values()
+        for name, count in process.sent.items()
+        if name != "Forward"
+    )
+    return StreamFigures(
+        scenario,
+        policy,
+        seed,
+        len(world.outcomes),
+        round(world.served_share(1.0, FAULT_AT_S), 3),
+        round(world.served_share(FAULT_AT_S, found_at_s), 3),
+        round(world.served_share(found_at_s, FAULT_END_S), 3),
+        round(world.served_share(FAULT_END_S, LOAD_END_S), 3),
+        sum(outcome.latency_s == inf for outcome in world.outcomes),
+        sum(count > 1 for count in runs.values()),
+        round(sent / len(world.processes) / END_S, 1),
+    )
--- a/src/heatheryoke/measure/stream_world.py
+++ b/src/heatheryoke/measure/stream_world.py
@@ -45,7 +45,7 @@
 from heatheryoke.platform.packets import ACK, BOUNCED, FIN, SYN, PacketCodec
 from heatheryoke.standins.stream_packets import build_packet
 
-__all__ = ["StreamOutcome", "StreamSite", "StreamWorld"]
+__all__ = ["Roles", "StreamOutcome", "StreamSite", "StreamWorld"]
 
 PEER_PORT = 7_000
 APP_PORT = 8_000
@@ -75,6 +75,13 @@
     hop_s: float = 0.0014
 
 
+class Roles(NamedTuple):
+    """The reducers that are run."""
+
+    balancer: type[StreamBalancer] = StreamBalancer
+    agent: type[StreamAgent] = StreamAgent
+
+
 class StreamOutcome(NamedTuple):
     """How a request ended; `latency_s` counts from its first try, and is infinite if unserved."""
 
@@ -261,8 +268,9 @@
 class StreamWorld:
     """A deployment in virtual time; cuts, kills and load are scheduled by the caller."""
 
-    def __init__(self, site: StreamSite, seed: int):
+    def __init__(self, site: StreamSite, seed: int, roles: Roles = Roles()):
         self.site = site
+        self.roles = roles
         self.scheduler = Scheduler()
         self.random = Random(seed)
         self.codec = PacketCodec()
@@ -292,7 +300,7 @@
     def add_agent(self, address: Address, domain: str) -> None:
         """Add an agent and its upstream."""
         upstream = Address(address.ip, APP_PORT)
-        node = StreamAgent(
+        node = self.roles.agent(
             address.ip,
             1,
             0.0,
@@ -308,7 +316,7 @@
 
     def add_balancer(self, address: Address, domain: str) -> None:
         """Add a balancer."""
-        node = StreamBalancer(
+        node = self.roles.balancer(
             address.ip,
             1,
             self.codec,
@@ -372,6 +380,10 @@
         """Advance the virtual time."""
         self.scheduler.run_until(end)
 
+    def runs(self) -> Counter[FlowKey]:
+        """Return how often each flow's request was run, over all upstreams."""
+        return sum((agent.upstream.runs for agent in self.agents), Counter())
+
     def served_share(self, start: float, end: float, domains: tuple[str, ...] = ()) -> float:
         """Return the share of requests started in a time span that met the latency target."""
         chosen = [
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -21,6 +21,7 @@
 from heatheryoke.core.sent_openings import MAXIMUM_RESENDS
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address, Host, Role
+from heatheryoke.measure.stream_scenarios import STREAM_SCENARIOS, run_stream_scenario
 from heatheryoke.measure.stream_world import StreamSite, StreamWorld
 from heatheryoke.platform.packets import ACK, SYN
 from heatheryoke.wire.peers import open_datagram, seal_datagram
@@ -315,8 +316,7 @@
         world.run_until(world.now + 0.7)
         world.network.heal()
         world.run_until(world.now + 7.0)
-        runs = sum((agent.upstream.runs for agent in world.agents), Counter())
-        assert set(runs.values()) <= {1}
+        assert set(world.runs().values()) <= {1}
         owners = Counter(
             flow
             for agent in world.agents
@@ -324,3 +324,13 @@
             if owned.answered
         )
         assert set(owners.values()) <= {1}
+
+
+class TestStreamScenarios:
+    @pytest.mark.parametrize("scenario", STREAM_SCENARIOS)
+    def test_serve_more_than_plain_rendezvous_hashing(self, scenario):
+        ours = run_stream_scenario(scenario, "heatheryoke", 3)
+        plain = run_stream_scenario(scenario, "rendezvous", 3)
+        assert ours.in_time_during > plain.in_time_during
+        assert ours.in_time_at_first > plain.in_time_at_first
+        assert (ours.unserved, ours.run_twice) == (0, 0)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Tests of byte streams: headers, homes, placement, and recovery of flows from the upstream."""
 
 import re
+from itertools import pairwise
 from math import inf
 from pathlib import Path
 
@@ -31,7 +32,15 @@
     UpstreamPacket,
 )
 from heatheryoke.core.flows import UDP, FlowTuple, PacketKind, flow_key
-from heatheryoke.core.messages import HOP_LIMIT, Forward, Hint, Pong, RecoveryRequest, Visit
+from heatheryoke.core.messages import (
+    HOP_LIMIT,
+    Forward,
+    Hint,
+    Pong,
+    RecoveryRequest,
+    Search,
+    Visit,
+)
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
@@ -42,6 +51,7 @@
 from heatheryoke.core.routes import Route, RouteTable, Share
 from heatheryoke.core.stream_agent import StreamAgent
 from heatheryoke.core.stream_balancer import StreamBalancer
+from heatheryoke.core.stream_search import FIRST_ASKED, short_id
 from heatheryoke.daemons.json_log import JsonLog
 from heatheryoke.daemons.stream_roles import StreamAgentApplication
 from heatheryoke.daemons.stream_settings import StreamSettings
@@ -203,7 +213,7 @@
 
     @given(st.binary(max_size=200))
     def test_any_peer_datagram_is_read_or_rejected(self, data):
-        for kind in range(8):
+        for kind in range(12):
             open_datagram(b"hy\x01" + bytes([kind]) + data)
 
     def test_peer_datagrams_round_trip(self):
@@ -212,6 +222,8 @@
             flow, 5, PacketKind.OPENS, 3, BALANCER, b"x", (Visit(1, 2.0), Visit(2, inf))
         )
         assert open_datagram(seal_datagram(7, message)) == (7, message)
+        message = message._replace(visited=(), search=Search((1, 2, 2**32 - 1), 8.0))
+        assert open_datagram(seal_datagram(7, message)) == (7, message)
 
 
 class TestRoutes:
@@ -336,7 +348,7 @@
         )
         (sent,) = of_kind(effects, SendForward)
         assert sent.message.payload == data
-        assert name_hash("10.1.0.1") in {visit.host_id for visit in sent.message.visited}
+        assert short_id("10.1.0.1") in sent.message.search.asked
 
     def test_agent_on_first_start_offers_nothing(self):
         flow = flow_of(1)
@@ -345,9 +357,9 @@
     def ask_last_host(self, agent, now, flags=ACK, uptime_s=60.0):
         """Forward a packet of an unknown flow to an agent after all other hosts were asked."""
         flow = flow_of(1)
-        visits = tuple(Visit(name_hash(f"10.1.0.{n}"), uptime_s) for n in range(2, 6))
+        search = Search(tuple(short_id(f"10.1.0.{n}") for n in range(2, 6)), uptime_s)
         data = packet(flow, flags, 2, 501)
-        return agent.reduce(forward(flow, data, now=now, visited=visits))
+        return agent.reduce(forward(flow, data, now=now, search=search))
 
     def test_a_search_ends_silently_while_an_upstream_may_be_missing(self):
         effects = self.ask_last_host(make_agent(), NOW + 0.5)
@@ -379,25 +391,25 @@
         agent.reduce(PeerMessageArrived(NOW, peer, 3, RecoveryRequest("10.1.0.9", 1, 0)))
         (asked,) = of_kind(self.ask_last_host(agent, NOW + 0.5, uptime_s=1.0), SendForward)
         assert asked.to == peer
-        visits = (*asked.message.visited, Visit(name_hash("10.1.0.9"), 1.0))
-        reply = asked.message._replace(visited=visits)
+        search = Search((*asked.message.search.asked, short_id("10.1.0.9")), 1.0)
+        reply = asked.message._replace(search=search)
         effects = agent.reduce(ForwardArrived(NOW + 0.51, peer, 3, reply))
         assert of_kind(effects, AnswerCaller)
 
     def test_host_outside_its_view_leaves_the_decision_to_a_home(self):
         agent, flow = make_agent(number=9), flow_of(1)
-        visits = tuple(Visit(name_hash(f"10.1.0.{n}"), 1.0) for n in range(1, 6))
+        search = Search(tuple(short_id(f"10.1.0.{n}") for n in range(1, 6)), 1.0)
         (sent,) = of_kind(
-            agent.reduce(forward(flow, packet(flow, ACK, 2, 501), visited=visits)), SendForward
+            agent.reduce(forward(flow, packet(flow, ACK, 2, 501), search=search)), SendForward
         )
         assert sent.to == agent.topology.homes(flow)[0].address
-        assert sent.message.visited[-1].host_id == name_hash("10.1.0.9")
+        assert sent.message.search.asked[-1] == short_id("10.1.0.9")
 
     def test_hosts_outside_their_views_do_not_forward_a_packet_forever(self):
         agent, flow = make_agent(number=9), flow_of(1)
-        visits = tuple(Visit(name_hash(f"10.1.0.{n}"), 1.0) for n in (1, 2, 3, 4, 5, 9))
+        search = Search(tuple(short_id(f"10.1.0.{n}") for n in (1, 2, 3, 4, 5, 9)), 1.0)
         data, passes = packet(flow, ACK, 2, 501), 0
-        message = forward(flow, data, visited=visits).message
+        message = forward(flow, data, search=search).message
         while passes <= HOP_LIMIT:
             sent = of_kind(agent.reduce(ForwardArrived(NOW, BALANCER, 3, message)), SendForward)
             if not sent:
@@ -412,11 +424,37 @@
 
     def test_asked_hosts_are_compared_by_id_not_by_count(self):
         agent, flow = make_agent(), flow_of(1)
-        visits = tuple(Visit(name_hash(f"10.1.0.{n}"), 1.0) for n in (2, 3, 4, 9))
-        effects = agent.reduce(forward(flow, packet(flow, ACK, 2, 501), visited=visits))
+        search = Search(tuple(short_id(f"10.1.0.{n}") for n in (2, 3, 4, 9)), 1.0)
+        effects = agent.reduce(forward(flow, packet(flow, ACK, 2, 501), search=search))
         assert not of_kind(effects, AnswerCaller)
         assert [effect.to.ip for effect in of_kind(effects, SendForward)] == ["10.1.0.5"]
 
+    @pytest.mark.parametrize("count", [10, 136, 240])
+    def test_a_search_asks_every_host_once_and_seldom_leaves_a_domain(self, count):
+        """Load pattern: after a loss of power, callers of all open flows send packets."""
+        items = (configuration(), *(endpoint(number) for number in range(1, count + 1)))
+        agents = {f"10.1.0.{n}": make_agent(n, items) for n in range(1, count + 1)}
+        for number, agent in enumerate(agents.values()):
+            agent.failure_domain = DOMAINS[(number + 1) % 3]
+        flow, visited = flow_of(1), ["10.1.0.1"]
+        event = forward(flow, packet(flow, ACK, 2, 501), now=NOW + 0.5)
+        while sent := of_kind(agents[visited[-1]].reduce(event), SendForward):
+            visited.append(sent[0].to.ip)
+            event = ForwardArrived(NOW + 0.5, sent[0].to, 3, sent[0].message)
+        assert sorted(visited) == sorted(agents)
+        domains = [agents[name].failure_domain for name in visited]
+        crossings = sum(one != other for one, other in pairwise(domains))
+        assert crossings <= FIRST_ASKED + len(DOMAINS)
+        assert len(seal_datagram(3, event.message)) < 1_200
+
+    def test_a_flow_that_the_upstream_has_returned_is_not_offered_again(self):
+        agent, flow = make_agent(first_start=False), flow_of(1)
+        data = packet(flow, ACK, 2, 501, b"GET")
+        agent.reduce(forward(flow, data))
+        agent.reduce(UpstreamPacket(NOW, flow, packet(flow, ACK | BOUNCED, 2, 501, b"GET")))
+        effects = agent.reduce(forward(flow, data, now=NOW + 0.2))
+        assert not of_kind(effects, Deliver) and of_kind(effects, SendForward)
+
     def test_agent_without_its_upstream_in_the_view_probes_it(self):
         agent, flow = make_agent(number=9, first_start=False), flow_of(1)
         data = forward(flow, packet(flow, ACK, 2, 501), now=NOW + 0.2)
