--- a/src/heatheryoke/core/effects.py
+++ b/src/heatheryoke/core/effects.py
@@ -88,10 +88,10 @@
 
 
 class Measure(NamedTuple):
-    """Add a value to the histogram of a tenant and class."""
+    """Add a value to the histogram of a team and class."""
 
     name: str
-    tenant: str
+    team: str
     request_class: str
     value: float
 
--- a/src/heatheryoke/core/request_dispatcher.py
+++ b/src/heatheryoke/core/request_dispatcher.py
@@ -319,9 +319,9 @@
         )
 
     def measure(self, name: str, active: ActiveRequest, value: float) -> Effect:
-        """Return a sample for the histogram of the request's tenant and class."""
-        tenant = self.service_of(active.service).tenant
-        return Measure(name, tenant, active.request.request_class, value)
+        """Return a sample for the histogram of the request's team and class."""
+        team = self.service_of(active.service).team
+        return Measure(name, team, active.request.request_class, value)
 
     def open_feed(self, owned: OwnedFlow, active: ActiveRequest) -> None:
         """Record a feed with its request, which renews the feed after a restart."""
--- a/src/heatheryoke/daemons/metrics.py
+++ b/src/heatheryoke/daemons/metrics.py
@@ -92,9 +92,9 @@
         """Increase the counter of an event."""
         self.events.add(name, amount)
 
-    def measure(self, name: str, tenant: str, request_class: str, value: float) -> None:
+    def measure(self, name: str, team: str, request_class: str, value: float) -> None:
         """Record a value in a histogram."""
-        self.histograms[name].labels(tenant, request_class).observe(value)
+        self.histograms[name].labels(team, request_class).observe(value)
 
     def counters(self) -> dict[str, int]:
         """Return all counters by event name."""
--- a/src/heatheryoke/inventory/model.py
+++ b/src/heatheryoke/inventory/model.py
@@ -92,7 +92,7 @@
 
     name: str
     address: Address
-    tenant: str
+    team: str
     protocol: Protocol = Protocol.OPAQUE
     request_id: str = ""
     floor: float = 1.0
--- a/src/heatheryoke/standins/deployments.py
+++ b/src/heatheryoke/standins/deployments.py
@@ -21,7 +21,7 @@
     """Size and names of a deployment; `sheet_service` serves sheets, `main_service` the rest."""
 
     name: str
-    tenant: str
+    team: str
     main_service: str
     sheet_service: str
     feed_path: str
@@ -73,12 +73,12 @@
         Service(
             deployment.main_service,
             addresses(),
-            deployment.tenant,
+            deployment.team,
             Protocol.COAP,
             class_weights={deployment.write_path: deployment.write_weight},
             apart_from=(deployment.sheet_service,),
         ),
-        Service(deployment.sheet_service, addresses(), deployment.tenant, Protocol.COAP),
+        Service(deployment.sheet_service, addresses(), deployment.team, Protocol.COAP),
     )
     agents = [host for host in hosts if host.role is Role.AGENT]
     endpoints = tuple(
--- a/tests/test_stream_site.py
+++ b/tests/test_stream_site.py
@@ -74,7 +74,7 @@
 
 
 class TestMetrics:
-    def test_have_histograms_by_tenant_and_class(self):
+    def test_have_histograms_by_team_and_class(self):
         async def play():
             site = StreamSite(seed=5)
             await site.start()
