Send configurations and long updates on in parts

The reader's update held ten items at most and no configuration, so that each process read each new configuration by itself, all at the same moment. Change: an update holds up to 500 items and configurations; a message over 1,400 bytes is compressed and sent in parts. A lost part costs what a lost update does: one call. A message to many is encoded once, not once a recipient. Ruled out: differences between configurations (a receiver that misses one needs the whole). Test: views of reader and receivers stay equal with configurations among the changes; 400 routes take at most ten datagrams; parts of two senders are not mixed; incomplete messages are bounded.

--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -55,8 +55,7 @@
         for n in range(balancers)
     )
     service_entries = tuple(
-        Service(f"service-{n}", address(), f"team-{n % 20}", Protocol.COAP)
-        for n in range(services)
+        Service(f"service-{n}", address(), f"team-{n % 20}", Protocol.COAP) for n in range(services)
     )
     endpoint_entries = tuple(
         Endpoint(f"service-{n % services}", f"upstream-{n}", address(), 4, 2_000)
--- a/src/heatheryoke/core/store_updates.py
+++ b/src/heatheryoke/core/store_updates.py
@@ -12,30 +12,28 @@
 
 __all__ = ["MAXIMUM_ITEMS", "make_store_update"]
 
-# Items per message: at most about 100 bytes each, to fit into one datagram of 1,200 bytes.
-MAXIMUM_ITEMS = 10
+# Items per message. A release that replaces half of a service's upstreams at once changes fewer.
+MAXIMUM_ITEMS = 500
 
 
 def make_store_update(
     view: StoreView, rank: int, after: int, revision: int, items: tuple[StoreItem, ...]
 ) -> StoreUpdate | None:
-    """Return the changes that `view` does not have yet, None if they do not fit into a message.
+    """Return the changes that `view` does not have yet, None if there are too many.
 
-    A configuration is always too long, so each process reads it from the store itself. If any item
-    of a name is a change, all items of that name are sent, since one may undo the one before.
+    If any item of a name is a change, all items of that name are sent, since one may undo the one
+    before.
     """
     if after == 0:
         return None
-    if any(item.subject is Subject.CONFIGURATION for item in items):
-        return None
-    changed_names = {item.name for item in items if _is_change(view, item)}
-    included = tuple(item for item in items if item.name in changed_names)
+    changed = {(item.subject, item.name) for item in items if _is_change(view, item)}
+    included = tuple(item for item in items if (item.subject, item.name) in changed)
     return StoreUpdate(rank, after, revision, included) if len(included) <= MAXIMUM_ITEMS else None
 
 
 def _is_change(view: StoreView, item: StoreItem) -> bool:
     """Return whether an item is more than a heartbeat that repeats the entry held."""
-    if item.subject is Subject.WITHDRAWAL:
+    if item.subject is not Subject.ENDPOINT:
         return True
     held = view.endpoints.get(item.name)
     if not isinstance(item.record, EndpointRecord):
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -35,7 +35,7 @@
     Tick,
 )
 from heatheryoke.core.flows import FlowKey, flow_tuple
-from heatheryoke.core.messages import Forward
+from heatheryoke.core.messages import Forward, Pong
 from heatheryoke.core.records import StoreItem
 from heatheryoke.core.store_node import StoreNode
 from heatheryoke.daemons.datagrams import Datagram, DatagramSocket
@@ -50,7 +50,12 @@
 from heatheryoke.platform.packets import PacketCodec, Side, check_packet, packet_flow
 from heatheryoke.platform.process import READY_PATH
 from heatheryoke.platform.store import StoreClient
-from heatheryoke.wire.peers import open_datagram, seal_datagram
+from heatheryoke.wire.fragments import (
+    Reassembly,
+    is_part,
+    split_message,
+)
+from heatheryoke.wire.peers import PeerDatagram, open_datagram, seal_datagram
 
 __all__ = ["StreamApplication"]
 
@@ -60,6 +65,8 @@
 WATCH_RESTART_S = 1.0
 METRICS_PATH = "/metrics"
 RECEIVE_BUFFER_BYTES = 1024 * 1024
+# Stands for a message of which parts are missing.
+INCOMPLETE = PeerDatagram(0, Pong())
 
 
 def steady_clock() -> float:
@@ -101,6 +108,8 @@
         )
         self.watch_task: asyncio.Task[None] | None = None
         self.ticker: asyncio.TimerHandle | None = None
+        self.reassembly = Reassembly()
+        self.last_sent: tuple[Any, list[bytes]] = (None, [])
         self.early_tick: asyncio.TimerHandle | None = None
         self.stopped = asyncio.Event()
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
@@ -268,7 +277,9 @@
         """Process datagrams from other processes; count invalid ones."""
         now = self.clock()
         for data, sender in batch:
-            datagram = open_datagram(data)
+            datagram = self.open_message(data, sender)
+            if datagram is INCOMPLETE:
+                continue
             if datagram is None or sender[1] != self.peer_address.port:
                 self.record.add("bad_peer_datagrams")
                 continue
@@ -276,6 +287,16 @@
             event_type = ForwardArrived if is_forward else PeerMessageArrived
             self.step(event_type(now, sender, datagram.epoch, datagram.message))
 
+    def open_message(self, data: bytes, sender: Address) -> PeerDatagram | None:
+        """Return the message that a datagram carries or completes, None if it is malformed."""
+        if not is_part(data):
+            return open_datagram(data)
+        try:
+            message = self.reassembly.add(sender, data)
+        except ValueError:
+            return None
+        return INCOMPLETE if message is None else open_datagram(message)
+
     def on_packet_datagrams(self, batch: list[Datagram]) -> None:
         """Process packets from the side that this role serves; count those it cannot have sent."""
         now, side = self.clock(), self.side
@@ -299,8 +320,16 @@
     # Effects out
 
     def send(self, effect: SendForward | SendPeer) -> None:
-        """Send a message to another process."""
-        self.peer_socket.send(seal_datagram(self.node.epoch, effect.message), effect.to)
+        """Send a message to another process, in parts if it is long."""
+        for datagram in self.datagrams_of(effect.message):
+            self.peer_socket.send(datagram, effect.to)
+
+    def datagrams_of(self, message: Any) -> list[bytes]:
+        """Return the datagrams of a message; the last are kept, since it may go to many."""
+        if message is not self.last_sent[0]:
+            sealed = seal_datagram(self.node.epoch, message)
+            self.last_sent = (message, split_message(sealed))
+        return self.last_sent[1]
 
     def answer_caller(self, effect: AnswerCaller) -> None:
         """Send a packet to a flow's caller."""
--- a/src/heatheryoke/wire/peers.py
+++ b/src/heatheryoke/wire/peers.py
@@ -10,6 +10,7 @@
 They are received on a separate port that callers cannot reach.
 """
 
+import json
 import socket
 import struct
 from collections.abc import Callable
@@ -32,7 +33,14 @@
     StoreUpdate,
     Yield,
 )
-from heatheryoke.core.records import EndpointRecord, StoreItem, Subject
+from heatheryoke.core.records import (
+    ConfigurationRecord,
+    EndpointRecord,
+    ServiceRecord,
+    StoreItem,
+    Subject,
+)
+from heatheryoke.core.routes import Route, Share
 from heatheryoke.inventory.model import Address
 from heatheryoke.wire.forward import decode_forward, encode_forward
 
@@ -53,7 +61,8 @@
 ITEM_HEADER = struct.Struct("!BQB")
 ENDPOINT = struct.Struct("!HHBdQ")
 PRESENT, HAS_RECORD = 1, 2
-SUBJECTS = (Subject.ENDPOINT, Subject.WITHDRAWAL)
+SUBJECTS = (Subject.ENDPOINT, Subject.WITHDRAWAL, Subject.CONFIGURATION)
+RECORD_LENGTH = struct.Struct("!I")
 
 
 class PeerDatagram(NamedTuple):
@@ -120,6 +129,9 @@
             parts += [_encode_name(record.failure_domain)]
             numbers = (record.address.port, record.slots, record.is_draining)
             parts.append(ENDPOINT.pack(*numbers, record.cold_s, record.born_ms))
+        elif isinstance(record, ConfigurationRecord):
+            encoded = json.dumps(record, separators=(",", ":")).encode()
+            parts += [RECORD_LENGTH.pack(len(encoded)), encoded]
     return b"".join(parts)
 
 
@@ -130,10 +142,10 @@
         subject, item_revision, flags = ITEM_HEADER.unpack_from(body, offset)
         name, offset = _decode_name(body, offset + ITEM_HEADER.size)
         record = None
-        if flags & HAS_RECORD:
-            record, offset = _decode_endpoint(body, offset)
         if subject >= len(SUBJECTS):
             raise ValueError(f"unknown subject {subject}")
+        if flags & HAS_RECORD:
+            record, offset = RECORD_DECODERS[SUBJECTS[subject]](body, offset)
         present = bool(flags & PRESENT)
         items.append(StoreItem(SUBJECTS[subject], name, item_revision, present, record))
     return StoreUpdate(rank, after, revision, tuple(items))
@@ -153,6 +165,43 @@
     return record, offset + ENDPOINT.size
 
 
+def _decode_configuration(body: bytes, offset: int) -> tuple[ConfigurationRecord, int]:
+    (length,) = RECORD_LENGTH.unpack_from(body, offset)
+    start = offset + RECORD_LENGTH.size
+    end = start + length
+    if end > len(body):
+        raise ValueError("truncated configuration")
+    try:
+        version, routes, services, idle_s = json.loads(body[start:end])
+        record = ConfigurationRecord(
+            int(version),
+            tuple(_make_route(*route) for route in routes),
+            tuple(ServiceRecord(*service) for service in services),
+            float(idle_s),
+        )
+    except (TypeError, RecursionError) as error:
+        raise ValueError(f"malformed configuration: {error}") from None
+    return record, end
+
+
+def _make_route(name: str, address: list, shares: list, *properties: Any) -> Route:
+    ip, port = address
+    return Route(
+        name, Address.parse(f"{ip}:{port}"), tuple(Share(*share) for share in shares), *properties
+    )
+
+
+def _decode_no_record(body: bytes, offset: int) -> tuple[None, int]:
+    raise ValueError("a withdrawal has no record")
+
+
+RECORD_DECODERS: dict[Subject, Callable[[bytes, int], tuple[Any, int]]] = {
+    Subject.ENDPOINT: _decode_endpoint,
+    Subject.CONFIGURATION: _decode_configuration,
+    Subject.WITHDRAWAL: _decode_no_record,
+}
+
+
 def _decode_forward(body: bytes) -> Forward:
     message = decode_forward(body)
     if message is None:
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -23,6 +23,12 @@
 from heatheryoke.daemons.store_watch import MINIMUM_CALL_INTERVAL_S, StoreWatch
 from heatheryoke.inventory.model import Address
 from heatheryoke.platform.packets import PacketCodec
+from heatheryoke.wire.fragments import (
+    MAXIMUM_DATAGRAM_BYTES,
+    MAXIMUM_INCOMPLETE,
+    Reassembly,
+    split_message,
+)
 from heatheryoke.wire.peers import open_datagram, seal_datagram
 
 NOW = 100.0
@@ -75,7 +81,15 @@
             number = draw(st.integers(1, 5))
             kind = draw(
                 st.sampled_from(
-                    ("heartbeat", "draining", "cold", "removed", "withdrawn", "returned")
+                    (
+                        "heartbeat",
+                        "draining",
+                        "cold",
+                        "removed",
+                        "withdrawn",
+                        "returned",
+                        "configured",
+                    )
                 )
             )
             item = endpoint(number, revision)
@@ -85,6 +99,8 @@
                 item = endpoint(number, revision, cold_s=draw(st.sampled_from((0.5, 2.0))))
             elif kind == "removed":
                 item = item._replace(present=False, record=None)
+            elif kind == "configured":
+                item = configuration(draw(st.integers(1, 9)), revision)
             elif kind in ("withdrawn", "returned"):
                 item = StoreItem(Subject.WITHDRAWAL, "north", revision, kind == "withdrawn", None)
             batch.append(item)
@@ -110,12 +126,15 @@
             listener.apply(arrived.items, now)
             listener.note_complete(arrived.revision)
         assert listener.endpoints == reader.endpoints
+        assert listener.configuration == reader.configuration
         assert listener.withdrawn == reader.withdrawn
         assert listener.cold_until == reader.cold_until
         assert listener.complete_to == reader.complete_to
 
-    def test_a_configuration_is_not_sent(self):
-        assert make_store_update(StoreView(PORT), 7, 5, 6, (configuration(2, 6),)) is None
+    def test_a_configuration_is_sent(self):
+        items = (configuration(2, 6), endpoint(1, 7))
+        update = make_store_update(StoreView(PORT), 7, 5, 7, items)
+        assert open_datagram(seal_datagram(1, update)).message.items == items
 
     def test_too_many_changes_are_not_sent(self):
         items = tuple(endpoint(number, number + 9) for number in range(MAXIMUM_ITEMS + 1))
@@ -127,6 +146,58 @@
         assert make_store_update(view, 7, 5, 9, (endpoint(1, 9),)).items == ()
 
 
+def large_configuration(routes):
+    """Return a configuration of many routes, as of the largest deployment known."""
+    (route,) = configuration(2, 6).record.routes
+    many = tuple(
+        route._replace(name=f"r-{n:06x}", address=Address("198.18.0.1", 1_024 + n))
+        for n in range(routes)
+    )
+    item = configuration(2, 6)
+    return item._replace(record=item.record._replace(routes=many))
+
+
+class TestParts:
+    """Load pattern: the configuration changes, and hundreds of processes need all of it."""
+
+    def datagrams(self, routes):
+        update = make_store_update(StoreView(PORT), 7, 5, 6, (large_configuration(routes),))
+        return update, split_message(seal_datagram(1, update))
+
+    def test_a_configuration_of_hundreds_of_routes_takes_few_datagrams(self):
+        update, parts = self.datagrams(400)
+        assert 1 < len(parts) <= 10
+        assert max(len(part) for part in parts) <= MAXIMUM_DATAGRAM_BYTES
+        reassembly = Reassembly()
+        arrived = [reassembly.add(BALANCER, part) for part in reversed(parts)]
+        assert arrived[:-1] == [None] * (len(parts) - 1)
+        assert open_datagram(arrived[-1]) == (1, update)
+
+    def test_parts_of_two_senders_are_not_mixed(self):
+        _, parts = self.datagrams(400)
+        reassembly = Reassembly()
+        other = Address("10.9.0.2", PORT)
+        assert reassembly.add(BALANCER, parts[0]) is None
+        assert all(reassembly.add(other, part) is None for part in parts[1:])
+
+    def test_incomplete_messages_are_bounded(self):
+        reassembly = Reassembly()
+        for routes in range(300, 380):
+            reassembly.add(BALANCER, self.datagrams(routes)[1][0])
+        assert len(reassembly.incomplete) <= MAXIMUM_INCOMPLETE
+
+    @given(st.binary(max_size=60), st.integers(0, 255), st.integers(0, 3))
+    def test_any_part_is_added_or_rejected(self, data, part, count):
+        raw = b"hp" + b"\0\0\0\1" + bytes([part, count]) + data
+        try:
+            Reassembly().add(BALANCER, raw)
+        except ValueError:
+            return
+
+    def test_a_short_message_is_not_split(self):
+        assert split_message(b"hy" + bytes(200)) == [b"hy" + bytes(200)]
+
+
 class TestSendingChanges:
     def test_a_reader_sends_changes_to_every_agent_and_known_balancer(self):
         node = agent(1, 7)
