Keep processes of the former release working beside this one

Change: a search has a message kind of its own, which a former release drops. Verdicts on silent hosts are in force only while at least half of the hosts tried have ever answered, since a former release acknowledges nothing. The last hop of a relayed packet is a plain forward. Ruled out: judging by hosts heard from (in a large fleet most are never heard from). Tests: kinds above 7 for all that is new; a process among hosts that answer nothing judges none.

--- a/src/heatheryoke/core/linked_node.py
+++ b/src/heatheryoke/core/linked_node.py
@@ -79,8 +79,8 @@
 
     def is_isolated(self) -> bool:
         """Return whether no failure domain is within reach, not even this process's own."""
-        unreachable = self.reachability.unreachable_since
-        return bool(self.hosts_by_domain) and len(unreachable) >= len(self.hosts_by_domain)
+        domains = self.hosts_by_domain
+        return bool(domains) and not any(map(self.reachability.is_domain_reachable, domains))
 
     def reduce(self, event: Event) -> list[Effect]:
         """Process one event; adapt the way of each packet that it sends."""
@@ -114,11 +114,10 @@
 
     def send_around_cut(self, effect: SendForward | SendPeer) -> Effect:
         """Send a message, through a third failure domain if its target is out of reach."""
-        unreachable = self.reachability.unreachable_since
-        if not unreachable or type(effect.message) in NEVER_RELAYED:
+        if not self.reachability.unreachable_since or type(effect.message) in NEVER_RELAYED:
             return effect
         host = self.current_topology.hosts_by_address.get(effect.to)
-        if host is None or host.failure_domain not in unreachable:
+        if host is None or self.reachability.is_domain_reachable(host.failure_domain):
             return effect
         relay = self.choose_relay(host)
         if relay is None:
@@ -175,6 +174,8 @@
         host = self.current_topology.hosts_by_address.get(target)
         if host is None or not self.reachability.is_domain_reachable(host.failure_domain):
             return [Count("dropped_relayed")]
+        if isinstance(message, Forward):
+            return [Count("relayed_for_others"), SendForward(target, message)]
         return [Count("relayed_for_others"), SendPeer(target, event.message)]
 
     # Timers
@@ -201,6 +202,8 @@
             return host is not None and not self.reachability.is_reachable(host, now)
 
         for opening in self.sent_openings.take_overdue(is_silent, now):
+            if not self.reachability.is_in_force():
+                continue
             if opening.resends >= MAXIMUM_RESENDS:
                 effects.append(Count("openings_given_up"))
                 continue
--- a/src/heatheryoke/core/reachability.py
+++ b/src/heatheryoke/core/reachability.py
@@ -7,6 +7,9 @@
 from a host shows nothing about the way to it.
 
 A verdict only changes the way that packets take. A host out of reach keeps its flows.
+
+Verdicts are in force only while at least half of the hosts tried have ever answered: in a rolling
+upgrade from a release that acknowledges nothing, silence says nothing about the way.
 """
 
 from collections.abc import Iterable, Mapping
@@ -46,19 +49,27 @@
         self.silent_hosts: dict[str, set[str]] = {}
         self.unreachable_since: dict[str, float] = {}
         self.acknowledged_at: dict[str, float] = {}
+        self.answered: set[Address] = set()
+        self.never_answered: set[Address] = set()
         self.checked_at = 0.0
 
+    def is_in_force(self) -> bool:
+        """Return whether enough hosts acknowledge what they are sent for silence to mean much."""
+        return len(self.answered) > 0 and len(self.answered) >= len(self.never_answered)
+
     def is_reachable(self, host: Host, now: float) -> bool:
         """Return whether packets should be sent to a host."""
         if not self.silent_until and not self.unreachable_since:
             return True
+        if not self.is_in_force():
+            return True
         if host.failure_domain in self.unreachable_since:
             return False
         return self.silent_until.get(host.address, now) <= now
 
     def is_domain_reachable(self, failure_domain: str) -> bool:
         """Return whether packets should be sent to a failure domain directly."""
-        return failure_domain not in self.unreachable_since
+        return failure_domain not in self.unreachable_since or not self.is_in_force()
 
     def on_sent(self, host: Host, now: float) -> None:
         """Record that a host was sent something that it acknowledges."""
@@ -67,6 +78,8 @@
     def on_acknowledged(self, host: Host, now: float) -> LinkChange | None:
         """Record an acknowledgement; return the change if its domain was out of reach."""
         domain = host.failure_domain
+        self.answered.add(host.address)
+        self.never_answered.discard(host.address)
         self.awaiting.pop(host.address, None)
         self.silent_until.pop(host.address, None)
         self.silent_hosts.pop(domain, None)
@@ -98,6 +111,8 @@
     def on_silent(self, host: Host, size: int, sent_at: float, now: float) -> list[LinkChange]:
         """Avoid a silent host; return the change if its failure domain is now out of reach."""
         self.silent_until[host.address] = now + HOST_VERDICT_S
+        if host.address not in self.answered:
+            self.never_answered.add(host.address)
         domain = host.failure_domain
         silent = self.silent_hosts.setdefault(domain, set())
         silent.add(host.name)
@@ -125,6 +140,8 @@
         for by_address in (self.awaiting, self.silent_until):
             for address in by_address.keys() - addresses:
                 del by_address[address]
+        self.answered &= addresses
+        self.never_answered &= addresses
         for by_domain in (self.silent_hosts, self.unreachable_since, self.acknowledged_at):
             for domain in by_domain.keys() - domains:
                 del by_domain[domain]
--- a/src/heatheryoke/wire/forward.py
+++ b/src/heatheryoke/wire/forward.py
@@ -10,7 +10,7 @@
 from heatheryoke.core.messages import Forward, Search, Visit
 from heatheryoke.inventory.model import Address
 
-__all__ = ["decode_forward", "encode_forward"]
+__all__ = ["decode_forward", "decode_search", "encode_forward", "encode_search"]
 
 HEADER = struct.Struct("!13sQBBBB4sHHI")
 VISIT = struct.Struct("!Qf")
@@ -18,14 +18,12 @@
 SHORT_ID_BYTES = 4
 ASSIGNED = 1
 PLACE_HERE = 2
-HAS_SEARCH = 4
 MAXIMUM_VISITS = 100
 
 
 def encode_forward(message: Forward) -> bytes:
     """Encode a forwarded packet as the body of a datagram."""
     flags = (ASSIGNED if message.assigned else 0) | (PLACE_HERE if message.place_here else 0)
-    flags |= HAS_SEARCH if message.search.asked else 0
     header = HEADER.pack(
         message.flow,
         message.service_id,
@@ -39,21 +37,7 @@
         message.generation,
     )
     visits = b"".join(VISIT.pack(*visit) for visit in message.visited)
-    search = _encode_search(message.search) if message.search.asked else b""
-    return header + visits + search + message.payload
-
-
-def _encode_search(search: Search) -> bytes:
-    count = len(search.asked)
-    return SEARCH.pack(count, search.longest_uptime_s) + struct.pack(f"!{count}I", *search.asked)
-
-
-def _decode_search(data: bytes, offset: int) -> tuple[Search, int]:
-    """Return the search at an offset and the offset behind it; raise `struct.error` if cut off."""
-    count, longest_uptime_s = SEARCH.unpack_from(data, offset)
-    offset += SEARCH.size
-    asked = struct.unpack_from(f"!{count}I", data, offset)
-    return Search(asked, longest_uptime_s), offset + count * SHORT_ID_BYTES
+    return header + visits + message.payload
 
 
 def decode_forward(data: bytes) -> Forward | None:
@@ -67,12 +51,6 @@
     if visit_count > MAXIMUM_VISITS or len(data) < offset or kind > PacketKind.EITHER:
         return None
     visited = tuple(Visit(*visit) for visit in VISIT.iter_unpack(data[HEADER.size : offset]))
-    search = Search()
-    if flags & HAS_SEARCH:
-        try:
-            search, offset = _decode_search(data, offset)
-        except struct.error:
-            return None
     return Forward(
         flow,
         service_id,
@@ -85,5 +63,26 @@
         bool(flags & PLACE_HERE),
         local_port,
         generation,
-        search,
     )
+
+
+def encode_search(message: Forward) -> bytes:
+    """Encode a packet whose owner is searched for, as the body of a datagram of its own kind.
+
+    A process of a release that does not know the kind drops it, and never takes the hosts asked
+    for a part of the caller's packet.
+    """
+    search, count = message.search, len(message.search.asked)
+    head = SEARCH.pack(count, search.longest_uptime_s) + struct.pack(f"!{count}I", *search.asked)
+    return head + encode_forward(message)
+
+
+def decode_search(data: bytes) -> Forward | None:
+    """Return the packet in a body written by `encode_search`, None if it is malformed."""
+    try:
+        count, longest_uptime_s = SEARCH.unpack_from(data)
+        asked = struct.unpack_from(f"!{count}I", data, SEARCH.size)
+    except struct.error:
+        return None
+    message = decode_forward(data[SEARCH.size + count * SHORT_ID_BYTES :])
+    return message and message._replace(search=Search(asked, longest_uptime_s))
--- a/src/heatheryoke/wire/peers.py
+++ b/src/heatheryoke/wire/peers.py
@@ -42,7 +42,12 @@
 )
 from heatheryoke.core.routes import Route, Share
 from heatheryoke.inventory.model import Address
-from heatheryoke.wire.forward import decode_forward, encode_forward
+from heatheryoke.wire.forward import (
+    decode_forward,
+    decode_search,
+    encode_forward,
+    encode_search,
+)
 
 __all__ = ["PeerDatagram", "open_datagram", "seal_datagram"]
 
@@ -203,14 +208,21 @@
 
 
 def _decode_forward(body: bytes) -> Forward:
-    message = decode_forward(body)
+    return _checked_forward(decode_forward(body))
+
+
+def _decode_search(body: bytes) -> Forward:
+    return _checked_forward(decode_search(body))
+
+
+def _checked_forward(message: Forward | None) -> Forward:
     if message is None:
         raise ValueError("malformed forwarded packet")
     return message
 
 
 def _encode_relayed(message: Relayed) -> bytes:
-    inner = FORMATS[type(message.message)]
+    inner = format_of(message.message)
     header = RELAYED_HEADER.pack(
         socket.inet_aton(message.origin.ip),
         message.origin.port,
@@ -266,12 +278,21 @@
     Pong: MessageFormat(10, lambda m: b"", lambda b: _decode_empty(Pong, b)),
     Relayed: MessageFormat(11, _encode_relayed, _decode_relayed),
 }
+SEARCH_FORMAT = MessageFormat(12, encode_search, _decode_search)
 DECODERS = {message_format.kind: message_format.decode for message_format in FORMATS.values()}
+DECODERS[SEARCH_FORMAT.kind] = SEARCH_FORMAT.decode
+
+
+def format_of(message: Forward | PeerMessage) -> MessageFormat:
+    """Return the format of a message."""
+    if type(message) is Forward and message.search.asked:
+        return SEARCH_FORMAT
+    return FORMATS[type(message)]
 
 
 def seal_datagram(epoch: int, message: Forward | PeerMessage) -> bytes:
     """Encode a message as a datagram."""
-    message_format = FORMATS[type(message)]
+    message_format = format_of(message)
     return HEADER.pack(MAGIC, VERSION, message_format.kind, epoch) + message_format.encode(message)
 
 
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -70,9 +70,30 @@
             changes += links.check(BY_ADDRESS, SIZES, now)
         return changes
 
-    def test_a_silent_host_is_avoided_for_a_time(self):
+    def links(self):
+        """Return verdicts of a process that every host has answered."""
+        links = Reachability()
+        for host in HOSTS:
+            links.on_acknowledged(host, 10.0)
+        links.check(BY_ADDRESS, SIZES, 10.0)
+        return links
+
+    def test_hosts_of_a_release_that_acknowledges_nothing_are_not_judged(self):
+        """Load pattern: a rolling upgrade; the third host to be upgraded tries all others."""
         links = Reachability()
         links.check(BY_ADDRESS, SIZES, 10.0)
+        links.on_acknowledged(HOSTS[0], 10.0)
+        links.on_acknowledged(HOSTS[3], 10.0)
+        for host in HOSTS:
+            links.on_sent(host, 10.0)
+        self.checked(links, 10.0, 10.1)
+        assert all(links.is_reachable(host, 10.2) for host in HOSTS)
+        assert links.is_domain_reachable("north")
+        links.on_acknowledged(HOSTS[1], 10.2)
+        assert not links.is_reachable(HOSTS[2], 10.2)
+
+    def test_a_silent_host_is_avoided_for_a_time(self):
+        links = self.links()
         links.on_sent(HOSTS[0], 10.0)
         assert self.checked(links, 10.0, 10.1) == []
         assert not links.is_reachable(HOSTS[0], 10.2)
@@ -80,8 +101,7 @@
         assert links.is_reachable(HOSTS[0], 10.2 + HOST_VERDICT_S)
 
     def test_two_silent_hosts_put_their_failure_domain_out_of_reach(self):
-        links = Reachability()
-        links.check(BY_ADDRESS, SIZES, 10.0)
+        links = self.links()
         links.on_sent(HOSTS[0], 10.0)
         links.on_sent(HOSTS[1], 10.0)
         (change,) = self.checked(links, 10.0, 10.1)
@@ -91,8 +111,7 @@
         assert links.is_reachable(HOSTS[3], 10.2)
 
     def test_an_acknowledgement_in_between_keeps_the_failure_domain(self):
-        links = Reachability()
-        links.check(BY_ADDRESS, SIZES, 10.0)
+        links = self.links()
         links.on_sent(HOSTS[0], 10.0)
         self.checked(links, 10.0, 10.1)
         links.on_acknowledged(HOSTS[2], 10.11)
@@ -101,8 +120,7 @@
         assert links.is_domain_reachable("north")
 
     def test_an_acknowledgement_brings_the_failure_domain_back(self):
-        links = Reachability()
-        links.check(BY_ADDRESS, SIZES, 10.0)
+        links = self.links()
         for host in HOSTS[:2]:
             links.on_sent(host, 10.0)
         self.checked(links, 10.0, 10.1)
@@ -111,16 +129,14 @@
         assert links.is_domain_reachable("north")
 
     def test_a_delay_of_this_process_is_no_silence_of_others(self):
-        links = Reachability()
-        links.check(BY_ADDRESS, SIZES, 10.0)
+        links = self.links()
         for host in HOSTS[:2]:
             links.on_sent(host, 10.0)
         assert links.check(BY_ADDRESS, SIZES, 10.0 + 2 * MAXIMUM_CHECK_GAP_S) == []
         assert links.is_domain_reachable("north")
 
     def test_hosts_and_domains_that_are_gone_are_forgotten(self):
-        links = Reachability()
-        links.check(BY_ADDRESS, SIZES, 10.0)
+        links = self.links()
         for host in HOSTS:
             links.on_sent(host, 10.0)
         self.checked(links, 10.0, 10.1)
@@ -204,7 +220,7 @@
     def cut_from(self, domain):
         """Return a balancer that has just lost a failure domain, and the time."""
         node = make_balancer()
-        node.reduce(Tick(NOW))
+        advance(node, NOW - 0.5, NOW)
         now = NOW
         while node.reachability.is_domain_reachable(domain):
             now = round(now + TICK_S, 6)
@@ -235,7 +251,7 @@
         message = Forward(flow, 1, PacketKind.BELONGS, HOP_LIMIT, BALANCER, packet(flow, ACK))
         relayed = Relayed(BALANCER, Address("10.1.0.4", 7_000), message)
         effects = agent.reduce(PeerMessageArrived(NOW, BALANCER, 3, relayed))
-        assert of_kind(effects, SendPeer) == [SendPeer(relayed.to, relayed)]
+        assert of_kind(effects, SendForward) == [SendForward(relayed.to, message)]
 
     def test_the_target_handles_it_as_sent_by_its_origin(self):
         agent = make_agent()
@@ -247,7 +263,7 @@
 
     def test_a_balancer_that_reaches_nobody_is_not_ready(self):
         node = make_balancer()
-        node.reduce(Tick(NOW))
+        advance(node, NOW - 0.5, NOW)
         assert node.is_ready()
         effects = advance(node, NOW, NOW + 1.0, "all")
         assert not node.is_ready()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -38,6 +38,7 @@
     Hint,
     Pong,
     RecoveryRequest,
+    Relayed,
     Search,
     Visit,
 )
@@ -213,9 +214,18 @@
 
     @given(st.binary(max_size=200))
     def test_any_peer_datagram_is_read_or_rejected(self, data):
-        for kind in range(12):
+        for kind in range(14):
             open_datagram(b"hy\x01" + bytes([kind]) + data)
 
+    def test_a_search_has_a_kind_that_former_releases_drop(self):
+        """Load pattern: a rolling upgrade; a former release knows the kinds up to 7."""
+        message = Forward(flow_of(1), 5, PacketKind.BELONGS, 3, BALANCER, b"x")
+        searching = message._replace(search=Search((1, 2), 8.0))
+        relayed = Relayed(BALANCER, BALANCER, searching)
+        kinds = [seal_datagram(7, row)[3] for row in (message, searching, relayed)]
+        assert kinds[0] == 1 and min(kinds[1:]) > 7
+        assert open_datagram(seal_datagram(7, relayed)) == (7, relayed)
+
     def test_peer_datagrams_round_trip(self):
         flow = flow_of(1)
         message = Forward(
