Bound the pings of a process to ten a second

Cause: with 11 failure domains, pings and acknowledgements took 2.8 KB/s of the 3 KB/s that a node has for control (benchmarks.reachability, 110 processes and 700 new flows/s). Change: above four domains the interval of pings grows with their number; first packets show most ways anyway.

--- a/src/heatheryoke/core/linked_node.py
+++ b/src/heatheryoke/core/linked_node.py
@@ -26,6 +26,9 @@
 # Interval at which a failure domain is pinged that acknowledges nothing else. A cut is found after
 # two silent pings, so that it takes well under 1 s.
 PING_INTERVAL_S = 0.4
+# Pings of a process to domains within reach; with more domains the interval is longer, and the
+# first packets of the flows of a larger fleet take their place.
+MAXIMUM_PINGS_PER_S = 10
 # Hosts pinged per tick in a failure domain that is out of reach or in doubt.
 PINGS_PER_TICK = 2
 # Relayed messages are not relayed again, and a ping asks about the direct way.
@@ -218,8 +221,9 @@
     def ping(self, now: float) -> list[Effect]:
         """Ping the failure domains whose reachability is in doubt or not shown by other traffic."""
         effects: list[Effect] = []
+        interval_s = max(PING_INTERVAL_S, len(self.hosts_by_domain) / MAXIMUM_PINGS_PER_S)
         for domain, hosts in self.hosts_by_domain.items():
-            if not self.reachability.needs_ping(domain, PING_INTERVAL_S, now):
+            if not self.reachability.needs_ping(domain, interval_s, now):
                 continue
             is_in_doubt = domain in self.reachability.silent_hosts
             for _ in range(min(len(hosts), PINGS_PER_TICK if is_in_doubt else 1)):
