--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -92,6 +92,32 @@
         assert measured("cold-start", "sangam").cold_overloads == 0
 
 
+class TestStorms:
+    """Storms of faults by seeds that were drawn at random; each that fails is kept."""
+
+    @pytest.mark.parametrize(("deployment", "seed"), [("sundarban", 40966)])
+    def test_no_write_runs_twice(self, deployment, seed):
+        assert measured("storm", deployment, seed=seed).doubled == 0
+
+    @pytest.mark.parametrize(("deployment", "seed"), [("sundarban", 40964)])
+    def test_no_refusal_is_false(self, deployment, seed):
+        assert measured("storm", deployment, seed=seed).false_refusals == 0
+
+    @pytest.mark.parametrize(
+        ("deployment", "seed"),
+        [
+            ("sundarban", 40961),
+            ("sundarban", 40963),
+            ("sundarban", 40966),
+            ("sangam", 40962),
+            ("sangam", 40963),
+            ("sangam", 40966),
+        ],
+    )
+    def test_break_no_feed_that_no_withdrawal_excuses(self, deployment, seed):
+        assert measured("storm", deployment, seed=seed).broken_flows == 0
+
+
 class TestFiguresDetectFaults:
     """Check that the figures detect the faults they stand for, and do not vary between runs."""
 
