--- a/benchmarks/process.py
+++ b/benchmarks/process.py
@@ -1,9 +1,10 @@
 """Memory and idle CPU time of each role with the configuration of a whole fleet."""
 
 import resource
-import sys
 import time
 
+import typer
+
 from benchmarks.common import fleet_document, report
 from heatheryoke.core.agent import Agent
 from heatheryoke.core.balancer import Balancer
@@ -29,7 +30,7 @@
     return round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1)
 
 
-def main(role: str, size: str) -> None:
+def main(role: str, size: str = "full") -> None:
     """Measure one role at one fleet size; peak memory requires a new process for each."""
     imported_mb = resident_mb()
     document = fleet_document(*SIZES[size])
@@ -80,4 +81,4 @@
 
 
 if __name__ == "__main__":
-    main(sys.argv[1], sys.argv[2] if len(sys.argv) > 2 else "full")
+    typer.run(main)
