--- a/benchmarks/process.py
+++ b/benchmarks/process.py
@@ -2,6 +2,7 @@
 
 import resource
 import time
+from typing import Annotated
 
 import typer
 
@@ -30,7 +31,7 @@
     return round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1)
 
 
-def main(role: str, size: str = "full") -> None:
+def main(role: str, size: Annotated[str, typer.Argument()] = "full") -> None:
     """Measure one role at one fleet size; peak memory requires a new process for each."""
     imported_mb = resident_mb()
     document = fleet_document(*SIZES[size])
