One bound for a process's own delay; a flow that opens is no longer taken for returned

A flow key that is used again within a minute of a restart was not offered to its upstream any more if the upstream had returned an earlier packet of it; adopting the flow forgets that. Test: fails before, passes now.

--- a/src/heatheryoke/core/linked_node.py
+++ b/src/heatheryoke/core/linked_node.py
@@ -185,8 +185,7 @@
 
     def check_links(self, now: float) -> list[Effect]:
         """Judge the ways that are overdue, repeat first packets another way, and send pings."""
-        gap_s = now - self.reachability.checked_at
-        if gap_s > 2 * ACKNOWLEDGEMENT_TIMEOUT_S:
+        if self.reachability.was_delayed(now):
             self.sent_openings.allow_for_own_delay(now)
         hosts = self.current_topology.hosts_by_address
         changes = self.reachability.check(hosts, self.domain_sizes, now)
@@ -244,7 +243,9 @@
             for host in hosts:
                 if host.name != self.host_name:
                     self.hosts_by_domain.setdefault(host.failure_domain, []).append(host)
-            self.domain_sizes = {name: len(rows) for name, rows in self.hosts_by_domain.items()}
+            self.domain_sizes = {
+                name: len(domain_hosts) for name, domain_hosts in self.hosts_by_domain.items()
+            }
         return effects
 
     def after_pause(self, now: float, paused_s: float) -> list[Effect]:
--- a/src/heatheryoke/core/reachability.py
+++ b/src/heatheryoke/core/reachability.py
@@ -123,9 +123,13 @@
 
     def allow_for_own_delay(self, now: float) -> None:
         """Extend all time-outs by a delay of this process, whose queue may hold the answers."""
-        gap_s, self.checked_at = now - self.checked_at, now
-        if gap_s > MAXIMUM_CHECK_GAP_S:
+        if self.was_delayed(now):
             self.awaiting = dict.fromkeys(self.awaiting, now)
+        self.checked_at = now
+
+    def was_delayed(self, now: float) -> bool:
+        """Return whether this process has not checked for longer than its ticks explain."""
+        return now - self.checked_at > MAXIMUM_CHECK_GAP_S
 
     def needs_ping(self, failure_domain: str, interval_s: float, now: float) -> bool:
         """Return whether a domain is out of reach, in doubt, or was not heard of for a time."""
--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -28,6 +28,7 @@
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.forwarder import NO_ADDRESS
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest, Search
+from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.core.stream_admission import StreamAdmission
 from heatheryoke.core.streams import StreamHeader
 from heatheryoke.inventory.checks import name_hash
@@ -176,6 +177,11 @@
         answered = self.with_own_answer(message._replace(payload=payload), now)
         return [*gone, Count("packets_returned"), *self.forward_unknown(answered, now)]
 
+    def adopt(self, owned: OwnedFlow, now: float) -> None:
+        """Add a flow to the tables; its upstream holds it, whatever it returned before."""
+        super().adopt(owned, now)
+        self.returned.pop(owned.flow, None)
+
     def note_returned(self, flow: FlowKey) -> None:
         """Record that the upstream does not hold a flow; it need not be asked again."""
         self.returned[flow] = None
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -465,6 +465,14 @@
         effects = agent.reduce(forward(flow, data, now=NOW + 0.2))
         assert not of_kind(effects, Deliver) and of_kind(effects, SendForward)
 
+    def test_a_flow_that_opens_after_all_is_no_longer_taken_for_returned(self):
+        agent, flow = make_agent(first_start=False), flow_of(1)
+        agent.reduce(forward(flow, packet(flow, ACK, 2, 501, b"GET")))
+        agent.reduce(UpstreamPacket(NOW, flow, packet(flow, ACK | BOUNCED, 2, 501, b"GET")))
+        assert flow in agent.returned
+        accept_flow(agent, flow, NOW + 0.1)
+        assert flow not in agent.returned
+
     def test_agent_without_its_upstream_in_the_view_probes_it(self):
         agent, flow = make_agent(number=9, first_start=False), flow_of(1)
         data = forward(flow, packet(flow, ACK, 2, 501), now=NOW + 0.2)
