Logs: which routes a configuration changes, how a process came to know it, and what chose a flow's service

Now a change of configuration says from which version, by which way (complete read, watch, update from a peer), which addresses were added, removed or moved, and for how long a newer one was known of; a process that learns of a newer version from a peer says so once ("behind"); a placed flow names the version that chose its service (service_by). Metric: heatheryoke_newest_peer_epoch.

--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -74,6 +74,7 @@
     `assigned` means that the receiver is the owner, with the `local_port` (0 for any) by which the
     upstream knows the flow and the `generation` of that decision. `place_here` means that the
     receiver places an unknown flow, although another host is the home in the newest epoch.
+    `service_epoch` is the version of the configuration that the service was selected by.
     """
 
     flow: FlowKey
@@ -88,6 +89,7 @@
     local_port: int = 0
     generation: int = 0
     search: Search = Search()
+    service_epoch: int = 0
 
 
 class Hint(NamedTuple):
--- a/src/heatheryoke/core/routes.py
+++ b/src/heatheryoke/core/routes.py
@@ -7,9 +7,11 @@
 from heatheryoke.core.flows import FlowKey, service_key, service_part
 from heatheryoke.inventory.model import Address
 
-__all__ = ["Route", "RouteTable", "Share"]
+__all__ = ["Route", "RouteTable", "Share", "describe_changes"]
 
 SHARE_SEED = 0x5A4E
+# Limits the length of a log line on a configuration with many changes.
+MAXIMUM_DESCRIBED = 8
 
 
 class Share(NamedTuple):
@@ -68,3 +70,27 @@
         if point * total_weight < cumulative_weight:
             return share.service
     return None
+
+
+def describe_changes(former: RouteTable | None, current: RouteTable) -> str:
+    """Return which addresses a configuration added, removed or sent elsewhere, for a log line."""
+    before = former.routes if former else {}
+    after = current.routes
+    kept = before.keys() & after.keys()
+    changes = {
+        "added": after.keys() - before.keys(),
+        "removed": before.keys() - after.keys(),
+        "moved": {key for key in kept if before[key].shares != after[key].shares},
+    }
+    addresses = {**before, **after}
+    return ", ".join(
+        f"{name} {_describe_addresses([addresses[key].address for key in keys])}"
+        for name, keys in changes.items()
+    )
+
+
+def _describe_addresses(addresses: list[Address]) -> str:
+    """Return a list of addresses, shortened to a number beyond `MAXIMUM_DESCRIBED`."""
+    if len(addresses) > MAXIMUM_DESCRIBED:
+        return f"{len(addresses)} routes"
+    return " ".join(sorted(map(str, addresses))) or "none"
--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -23,6 +23,7 @@
 from heatheryoke.core.node import Node
 from heatheryoke.core.records import StoreItem
 from heatheryoke.core.routed_topology import RoutedTopology
+from heatheryoke.core.routes import describe_changes
 from heatheryoke.core.store_updates import make_store_update
 from heatheryoke.core.store_view import StoreView
 from heatheryoke.inventory.model import Address, Host
@@ -40,6 +41,8 @@
         self.previous_topology: RoutedTopology | None = None
         self.changed_at = 0.0
         self.newest_peer_epoch = 0
+        self.behind_since: float | None = None
+        self.view_source = ""
         self.event_handlers |= {
             StoreRead: self.on_store_read,
             StoreChanged: self.on_store_changed,
@@ -84,15 +87,22 @@
         return [DiscardQueued(), Count("pauses"), paused, *self.on_pause_ended(now)]
 
     def note_peer_epoch(self, event: ForwardArrived | PeerMessageArrived) -> list[Effect]:
-        """Count a peer's newer configuration, which this process will read from the store."""
+        """Record a peer's newer configuration, which this process will read from the store."""
         if event.epoch <= max(self.epoch, self.newest_peer_epoch):
             return []
         self.newest_peer_epoch = event.epoch
-        return [Count("peer_has_newer_configuration")]
+        if self.behind_since is None:
+            self.behind_since = event.now
+        reason = f"version {self.epoch} here, {event.epoch} at {event.sender}"
+        return [
+            Count("peer_has_newer_configuration"),
+            LogChange("configuration", "behind", reason),
+        ]
 
     def on_store_read(self, event: StoreRead) -> list[Effect]:
         """Apply a complete read of the store."""
         effects = self.note_available(event.now)
+        self.view_source = "complete read"
         changed = self.view.replace(event.items, event.now)
         self.view.note_complete(event.revision)
         return effects + self.update_topology(changed, event.now)
@@ -100,6 +110,7 @@
     def on_store_changed(self, event: StoreChanged) -> list[Effect]:
         """Apply changes read from the store and send them to the other processes."""
         update = make_store_update(self.view, self.rank, event.after, event.revision, event.items)
+        self.view_source = "watch"
         effects = self.apply_changes(event.items, event.revision, event.now)
         if update is None or self.current_topology is None:
             return effects
@@ -120,6 +131,7 @@
         update = event.message
         if not 0 < update.after <= self.view.complete_to:
             return [Count("news_refused")]
+        self.view_source = f"update from {event.sender}"
         effects = self.apply_changes(update.items, update.revision, event.now)
         postponement = PostponeStoreRead(update.revision, update.rank < self.rank)
         return [Count("news_taken"), postponement, *effects]
@@ -161,7 +173,9 @@
         self.changed_at = now
         effects: list[Effect] = [Count("views_accepted")]
         if self.epoch != before:
-            effects.append(self.configuration_log_entry())
+            effects.append(self.configuration_log_entry(before, now))
+            if self.epoch >= self.newest_peer_epoch:
+                self.behind_since = None
         effects.append(self.view_log_entry())
         return effects + self.on_topology(now)
 
@@ -174,15 +188,20 @@
         parts += [f"{host.name}=removed" for host in previous - current if host.name not in names]
         return LogChange("view", f"revision {self.view.revision}", ",".join(sorted(parts)))
 
-    def configuration_log_entry(self) -> LogChange:
+    def configuration_log_entry(self, before: int, now: float) -> LogChange:
         """Return the log entry of a configuration that has come into force."""
         record = self.view.configuration
         limits = ",".join(
             f"{service.name}:cold {service.cold_s:g} s at {service.cold_rate:g}/s"
             for service in record.services
         )
-        summary = f"{len(record.routes)} routes, idle {record.idle_s:g} s, {limits}"
-        return LogChange("configuration", f"version {record.version}", summary)
+        former = self.previous_topology.route_table if self.previous_topology else None
+        changes = describe_changes(former, self.current_topology.route_table)
+        parts = [f"{len(record.routes)} routes", f"idle {record.idle_s:g} s", limits]
+        parts += [f"from version {before}", f"by {self.view_source}", changes]
+        if self.behind_since is not None:
+            parts.append(f"known of for {now - self.behind_since:.3f} s")
+        return LogChange("configuration", f"version {record.version}", ", ".join(parts))
 
     def on_peer_message(self, event: PeerMessageArrived) -> list[Effect]:
         """Handle a control message."""
--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -112,6 +112,7 @@
             ("busy", len(self.in_progress)),
             ("flows", len(self.flows)),
             ("loads", [round(visit.load, 2) for visit in message.visited if visit.load < inf]),
+            ("service_by", message.service_epoch),
             *self.decision_facts(now),
         )
         return [
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -68,7 +68,11 @@
         if service is None:
             return [Count("dropped_wrong_service")]
         passed_on = message.hops < HOP_LIMIT
-        message = message._replace(service_id=name_hash(service.name), place_here=passed_on)
+        message = message._replace(
+            service_id=name_hash(service.name),
+            place_here=passed_on,
+            service_epoch=max(event.epoch, self.epoch),
+        )
         if self.host_name not in self.topology.hosts:
             return self.pass_on_outside_view(message, service, event.now)
         if not passed_on and not self.is_home_usable(message.flow):
--- a/src/heatheryoke/core/stream_balancer.py
+++ b/src/heatheryoke/core/stream_balancer.py
@@ -46,7 +46,8 @@
         host = self.choose_host(event.flow, head)
         if host is None:
             return [Count("dropped_no_host")]
-        return [SendForward(host.address, self.forward(event, service, head.kind))]
+        message = self.forward(event, service, head.kind)
+        return [SendForward(host.address, message._replace(service_epoch=self.epoch))]
 
     def choose_host(self, flow: FlowKey, head: StreamHeader) -> Host | None:
         """Return the cached owner, else a home; copies of a first packet alternate between them.
--- a/src/heatheryoke/daemons/stream_metrics.py
+++ b/src/heatheryoke/daemons/stream_metrics.py
@@ -50,7 +50,10 @@
     def gauges(self) -> Iterator[Metric]:
         """Yield the gauges, read from the reducer."""
         node = self.node
-        gauges = [("epoch", "Configuration in force.", node.epoch)]
+        gauges = [
+            ("epoch", "Configuration in force.", node.epoch),
+            ("newest_peer_epoch", "Newest configuration of any peer.", node.newest_peer_epoch),
+        ]
         if isinstance(node, StreamAgent):
             gauges += [
                 ("flows_owned", "Flows owned.", len(node.flows)),
