--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -19,7 +19,7 @@
     StoreRead,
     Tick,
 )
-from heatheryoke.core.messages import StoreUpdate
+from heatheryoke.core.messages import Forward, PeerMessage, StoreUpdate
 from heatheryoke.core.node import Node
 from heatheryoke.core.records import StoreItem
 from heatheryoke.core.routed_topology import RoutedTopology
@@ -61,6 +61,10 @@
         """The version of the configuration in force, 0 before the first."""
         return self.current_topology.route_table.version if self.current_topology else 0
 
+    def epoch_of(self, message: Forward | PeerMessage) -> int:
+        """Return the version that a message to another process is sent under."""
+        return self.epoch
+
     def is_muted(self) -> bool:
         """Return whether there is no view yet."""
         return self.current_topology is None
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -327,7 +327,7 @@
     def datagrams_of(self, message: Any) -> list[bytes]:
         """Return the datagrams of a message; the last are kept, since it may go to many."""
         if message is not self.last_sent[0]:
-            sealed = seal_datagram(self.node.epoch, message)
+            sealed = seal_datagram(self.node.epoch_of(message), message)
             self.last_sent = (message, split_message(sealed))
         return self.last_sent[1]
 
--- a/src/heatheryoke/measure/stream_world.py
+++ b/src/heatheryoke/measure/stream_world.py
@@ -178,14 +178,15 @@
         """Send a message to another process."""
         target = self.world.processes[effect.to]
         self.sent[type(effect.message).__name__] += 1
+        epoch = self.node.epoch_of(effect.message)
         self.world.network.send(
-            self.address.ip, target.address.ip, lambda: target.receive(self, effect.message)
+            self.address.ip, target.address.ip, lambda: target.receive(self, epoch, effect.message)
         )
 
-    def receive(self, sender: "StreamProcess", message: Any) -> None:
-        """Handle a message from another process."""
+    def receive(self, sender: "StreamProcess", epoch: int, message: Any) -> None:
+        """Handle a message that another process has sent under a version."""
         event_type = ForwardArrived if isinstance(message, Forward) else PeerMessageArrived
-        self.step(event_type(self.world.now, sender.address, self.node.epoch, message))
+        self.step(event_type(self.world.now, sender.address, epoch, message))
 
 
 class StreamRequest:
--- a/src/heatheryoke/standins/process_site.py
+++ b/src/heatheryoke/standins/process_site.py
@@ -2,16 +2,16 @@
 
 import asyncio
 import json
-import os
 import signal
 import sys
 import tempfile
 from collections import deque
+from contextlib import suppress
 from pathlib import Path
 
 from heatheryoke.daemons.stream_settings import STREAM_SETTINGS
 from heatheryoke.standins.settings_text import settings_text
-from heatheryoke.standins.stream_site import StreamHost, StreamSite
+from heatheryoke.standins.stream_site import SMALL_SITE, SiteSize, StreamHost, StreamSite
 
 __all__ = ["ProcessStreamSite"]
 
@@ -25,10 +25,12 @@
 class ProcessStreamSite(StreamSite):
     """Starts the processes, reads their logs, and signals only processes started here."""
 
-    def __init__(self, seed: int):
-        super().__init__(seed)
+    def __init__(self, seed: int, size: SiteSize = SMALL_SITE):
+        super().__init__(seed, size)
         self.folder = tempfile.TemporaryDirectory()
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.running: dict[str, asyncio.subprocess.Process] = {}
+        self.started: set[str] = set()
         self.readers: dict[str, asyncio.Task[None]] = {}
         self.logs: dict[str, deque[str]] = {}
         self.faults: list[str] = []
@@ -52,7 +54,9 @@
             stdout=asyncio.subprocess.PIPE,
             limit=LOG_LINE_BYTES,
         )
-        self.processes[host.name] = process
+        self.started.discard(host.name)
+        self.processes[host.name] = self.running[host.name] = process
+        self.incarnations[host.name] += 1
         self.logs.setdefault(host.name, deque(maxlen=KEPT_LINES))
         reader = asyncio.get_running_loop().create_task(self.read_log(host.name, process))
         self.readers[host.name] = reader
@@ -62,20 +66,36 @@
         while line := await process.stdout.readline():
             text = line.decode(errors="replace").rstrip()
             self.logs[name].append(text)
-            if json.loads(text).get("event") == "fault":
+            event = json.loads(text).get("event")
+            if event == "start":
+                self.started.add(name)
+            elif event == "fault":
                 self.faults.append(f"{name}: {text}")
         code = await process.wait()
         if self.processes.get(name) is process:
             self.unexpected_exits.append(f"{name} exited unexpectedly with code {code}")
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
-        """Send a signal to a host's process."""
-        os.kill(self.processes[name].pid, number)
+        """Send a signal to a host's process if it runs, also while it stops."""
+        if self.is_running(name):
+            with suppress(ProcessLookupError):
+                self.running[name].send_signal(number)
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a host's process runs, also while it stops."""
+        process = self.running.get(name)
+        return process is not None and process.returncode is None
+
+    async def wait_started(self, name: str) -> None:
+        """Wait until a host's process has logged its start, or has ended."""
+        while self.is_running(name) and name not in self.started:
+            await asyncio.sleep(0.02)
 
     async def end(self, name: str, number: signal.Signals) -> None:
         """Signal a process and wait for its exit; kill it after `STOP_TIMEOUT_S`."""
         process = self.processes.pop(name)
-        process.send_signal(number)
+        with suppress(ProcessLookupError):
+            process.send_signal(number)
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 await process.wait()
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -6,21 +6,23 @@
 
 import asyncio
 import random
-import signal
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from math import inf
 from typing import NamedTuple
 
-from heatheryoke.inventory.model import Role
+from heatheryoke.core.flows import FlowKey
+from heatheryoke.inventory.model import Address
 from heatheryoke.standins.process_site import ProcessStreamSite
+from heatheryoke.standins.route_checker import RouteChecker
+from heatheryoke.standins.soak_faults import FAULTS, FaultTarget
 from heatheryoke.standins.stream_caller import Outcome, StreamCaller, StreamFlow
-from heatheryoke.standins.stream_site import CHANGE_WITHIN_S, FEEDS, SHEETS, StreamHost
+from heatheryoke.standins.stream_site import CHANGE_WITHIN_S, FEEDS, SHEETS, SMALL_SITE, SiteSize
 
-__all__ = ["FAULTS", "Soak", "SoakResult", "run_soak"]
+__all__ = ["Soak", "SoakResult", "run_soak"]
 
-FEED_CALLERS = 16
+FEED_CALLERS = 12
+LOYAL_CALLERS = 6
 SHEET_CALLERS = 6
 REQUEST_INTERVAL_S = 0.25
 TIMEOUT_S = 6.0
@@ -28,31 +30,29 @@
 CONTACT_S = 4.0
 # Time after the last fault within which all must work again (the platform's `recoveryS`).
 RECOVERY_S = 12.0
-RESTART_DELAY_S = (0.3, 3.0)
-FAULT_DURATION_S = (1.0, 5.0)
-
-
-class Fault(NamedTuple):
-    """One kind of fault; every rule stays in force during a planned one."""
-
-    is_planned: bool
-    inject: Callable[["Soak"], Awaitable[None]]
+# Pauses between the beginnings of two faults.
+FAULT_GAPS_S = (0.1, 0.1, 0.5, 1.0, 3.0, CONTACT_S + 6.0)
 
 
 class SoakResult(NamedTuple):
-    """Result of a soak: outcomes of requests, faults injected, and rule violations."""
+    """Result of a soak: outcomes of requests, faults injected, and rule violations.
+
+    `logs` are the latest log lines of each process, kept if a rule was violated.
+    """
 
     outcomes: Counter[str]
     injected_faults: Counter[str]
     violations: list[str]
+    logs: dict[str, list[str]]
 
 
-class Soak:
+class Soak(FaultTarget):
     """Runs callers, injects faults, and checks the rules."""
 
-    def __init__(self, seed: int):
+    def __init__(self, seed: int, size: SiteSize = SMALL_SITE):
         self.random = random.Random(seed)
-        self.site = ProcessStreamSite(seed)
+        self.site = ProcessStreamSite(seed, size)
+        self.checker = RouteChecker(self.site, self.random, self.is_calm)
         self.outcomes: Counter[str] = Counter()
         self.injected_faults: Counter[str] = Counter()
         self.violations: list[str] = []
@@ -124,13 +124,38 @@
             flow.close()
             await asyncio.sleep(REQUEST_INTERVAL_S * (0.5 + self.random.random()))
 
-    # Faults
+    def loyal_way(self) -> Callable[[FlowKey], Address | None]:
+        """Return a way that keeps to each flow's balancer until that process is gone."""
+        chosen: dict[FlowKey, Address] = {}
+        names = {host.ip: host.name for host in self.site.balancers()}
+
+        def choose(flow: FlowKey) -> Address | None:
+            balancer = chosen.get(flow)
+            if balancer is None or not self.site.is_running(names[balancer.ip]):
+                balancer = self.site.route(flow)
+                if balancer is not None:
+                    chosen[flow] = balancer
+            return balancer
+
+        return choose
+
+    async def start_callers(self) -> list[asyncio.Task[None]]:
+        """Start all callers."""
+        loop = asyncio.get_running_loop()
+        activities = [
+            (FEED_CALLERS, self.request_repeatedly, self.site.route),
+            (LOYAL_CALLERS, self.request_repeatedly, self.loyal_way()),
+            (SHEET_CALLERS, self.fetch_repeatedly, self.site.route),
+        ]
+        await self.checker.start()
+        checks = (self.checker.run, self.checker.change_repeatedly)
+        tasks = [loop.create_task(check(lambda: self.is_over)) for check in checks]
+        for count, activity, way in activities:
+            for _ in range(count):
+                tasks.append(loop.create_task(activity(await self.site.add_caller(way))))
+        return tasks
 
-    def pick_host(self, role: Role) -> StreamHost:
-        """Return a random host of a role, if possible one that no fault is using."""
-        hosts = [host for host in self.site.hosts.values() if host.role is role]
-        free = [host for host in hosts if host.name not in self.reserved]
-        return self.random.choice(free or hosts)
+    # Faults
 
     async def inject_fault(self) -> None:
         """Inject one random fault and wait for its end."""
@@ -151,86 +176,9 @@
         running: set[asyncio.Task[None]] = set()
         while self.now() < ends:
             running.add(asyncio.get_running_loop().create_task(self.inject_fault()))
-            await asyncio.sleep(self.random.choice((0.1, 1.0, 3.0, CONTACT_S + 6.0)))
+            await asyncio.sleep(self.random.choice(FAULT_GAPS_S))
         await asyncio.gather(*running)
 
-    @asynccontextmanager
-    async def reserved_host(self, role: Role) -> AsyncIterator[StreamHost]:
-        """Reserve a host, so that no other fault uses it."""
-        host = self.pick_host(role)
-        while host.name in self.reserved:
-            await asyncio.sleep(0.1)
-        self.reserved.add(host.name)
-        try:
-            yield host
-        finally:
-            self.reserved.discard(host.name)
-
-    async def restart(self, role: Role, number: signal.Signals) -> None:
-        """End a process with a signal and start it again."""
-        async with self.reserved_host(role) as host:
-            await self.site.end(host.name, number)
-            await asyncio.sleep(self.random.uniform(*RESTART_DELAY_S))
-            await self.site.start_process(host)
-            await asyncio.sleep(1.0)
-
-    async def pause(self, role: Role) -> None:
-        """Suspend a process for a time and resume it."""
-        async with self.reserved_host(role) as host:
-            self.site.send_signal(host.name, signal.SIGSTOP)
-            await asyncio.sleep(self.random.uniform(*FAULT_DURATION_S))
-            self.site.send_signal(host.name, signal.SIGCONT)
-
-    async def kill_all(self) -> None:
-        """Kill all processes that no other fault is using, and start them again."""
-        names = [name for name in self.site.processes if name not in self.reserved]
-        self.reserved.update(names)
-        await asyncio.gather(*(self.site.kill_process(name) for name in names))
-        await asyncio.sleep(self.random.uniform(*RESTART_DELAY_S))
-        for name in names:
-            await self.site.start_process(self.site.hosts[name])
-        self.reserved.difference_update(names)
-
-    async def replace_upstream(self) -> None:
-        """Close an upstream abruptly and start a new one at the same address."""
-        async with self.reserved_host(Role.AGENT) as host:
-            await self.site.upstreams[host.name].close()
-            await asyncio.sleep(self.random.uniform(*RESTART_DELAY_S))
-            await self.site.start_upstream(host)
-
-    async def drain_upstream(self) -> None:
-        """Drain an upstream, check that it receives no new flows, and make it ready again."""
-        async with self.reserved_host(Role.AGENT) as host:
-            upstream = self.site.upstreams[host.name]
-            upstream.set_state("draining")
-            await self.expect_no_new_flows("a draining upstream", lambda: upstream.opened)
-            upstream.set_state("ready")
-
-    async def withdraw_domain(self) -> None:
-        """Withdraw a failure domain, check that it receives no new flows, and return it."""
-        domain = self.random.choice(sorted({host.failure_domain for host in self.agents()}))
-        async with self.change_lock:
-            self.site.store.put(f"op/evacuate/{domain}", {})
-            upstreams = [
-                upstream for upstream in self.site.upstreams.values() if upstream.domain == domain
-            ]
-            await self.expect_no_new_flows(
-                "a withdrawn domain", lambda: sum(upstream.opened for upstream in upstreams)
-            )
-            self.site.store.delete(f"op/evacuate/{domain}")
-
-    async def remove_route(self) -> None:
-        """Remove a route, check that its service receives no new flows, and restore the route."""
-        async with self.change_lock:
-            self.site.publish(without=SHEETS)
-            upstreams = [
-                upstream for upstream in self.site.upstreams.values() if upstream.service == SHEETS
-            ]
-            await self.expect_no_new_flows(
-                "a removed route", lambda: sum(upstream.opened for upstream in upstreams)
-            )
-            self.site.publish()
-
     async def expect_no_new_flows(self, where: str, opened: Callable[[], int]) -> None:
         """Record new flows that arrive after `CHANGE_WITHIN_S`, if the system stayed calm."""
         began = self.now()
@@ -240,48 +188,31 @@
         if self.is_calm(began) and opened() > before:
             self.record_violation(f"{opened() - before} new flows at {where}")
 
-    async def set_store_fault(self, name: str, value: object, normal: object) -> None:
-        """Set an attribute of the store for a time and restore it."""
-        setattr(self.site.store, name, value)
-        self.site.store.wake_watches()
-        await asyncio.sleep(self.random.uniform(*FAULT_DURATION_S))
-        setattr(self.site.store, name, normal)
-
-    async def compact_store(self) -> None:
-        """Compact the history of the store."""
-        self.site.store.compact()
-
-    def agents(self) -> list[StreamHost]:
-        """Return the hosts with an upstream."""
-        return [host for host in self.site.hosts.values() if host.role is Role.AGENT]
-
     # Run
 
     async def run(self, seconds: float) -> SoakResult:
         """Start the deployment, inject faults, let it recover, and return the result."""
         self.began = self.now()
-        loop = asyncio.get_running_loop()
         try:
             await self.site.start()
             self.calm_since = self.now()
-            activities = [
-                (FEED_CALLERS, self.request_repeatedly),
-                (SHEET_CALLERS, self.fetch_repeatedly),
-            ]
-            callers = [
-                loop.create_task(activity(await self.site.add_caller()))
-                for count, activity in activities
-                for _ in range(count)
-            ]
+            callers = await self.start_callers()
             await self.inject_faults(seconds)
             await asyncio.sleep(RECOVERY_S)
             await self.expect_service()
             self.is_over = True
             await asyncio.gather(*callers)
             self.check_processes()
+            self.violations += self.checker.violations()
         finally:
             await self.site.close()
-        return SoakResult(self.outcomes, self.injected_faults, self.violations)
+        logs = {name: list(lines) for name, lines in self.site.logs.items()}
+        return SoakResult(
+            self.outcomes + self.checker.outcomes,
+            self.injected_faults,
+            self.violations,
+            logs if self.violations else {},
+        )
 
     async def expect_service(self) -> None:
         """Record a service that does not answer every new flow after the recovery time."""
@@ -304,25 +235,6 @@
             self.record_violation(f"{altered} packets altered")
 
 
-FAULTS: dict[str, Fault] = {
-    "balancer killed": Fault(False, lambda soak: soak.restart(Role.BALANCER, signal.SIGKILL)),
-    "balancer stopped": Fault(True, lambda soak: soak.restart(Role.BALANCER, signal.SIGTERM)),
-    "balancer paused": Fault(False, lambda soak: soak.pause(Role.BALANCER)),
-    "agent killed": Fault(False, lambda soak: soak.restart(Role.AGENT, signal.SIGKILL)),
-    "agent stopped": Fault(False, lambda soak: soak.restart(Role.AGENT, signal.SIGTERM)),
-    "agent paused": Fault(False, lambda soak: soak.pause(Role.AGENT)),
-    "all killed": Fault(False, Soak.kill_all),
-    "upstream replaced": Fault(False, Soak.replace_upstream),
-    "upstream drained": Fault(True, Soak.drain_upstream),
-    "domain withdrawn": Fault(True, Soak.withdraw_domain),
-    "route removed": Fault(True, Soak.remove_route),
-    "store down": Fault(False, lambda soak: soak.set_store_fault("is_down", True, False)),
-    "store slow": Fault(False, lambda soak: soak.set_store_fault("delay_s", 0.4, 0.0)),
-    "store silent": Fault(False, lambda soak: soak.set_store_fault("delay_s", 60.0, 0.0)),
-    "store compacted": Fault(True, Soak.compact_store),
-}
-
-
-def run_soak(seed: int, seconds: float) -> SoakResult:
+def run_soak(seed: int, seconds: float, size: SiteSize = SMALL_SITE) -> SoakResult:
     """Run one soak; a seed fixes the choice of faults, but not their exact timing."""
-    return asyncio.run(Soak(seed).run(seconds))
+    return asyncio.run(Soak(seed, size).run(seconds))
--- /dev/null
+++ b/src/heatheryoke/standins/soak_faults.py
@@ -0,0 +1,224 @@
+"""The faults that a soak injects, in series and overlapping."""
+
+import asyncio
+import signal
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from random import Random
+from typing import NamedTuple
+
+from heatheryoke.inventory.model import Role
+from heatheryoke.standins.process_site import ProcessStreamSite
+from heatheryoke.standins.route_checker import RouteChecker
+from heatheryoke.standins.stream_site import SHEETS, StreamHost
+
+__all__ = ["FAULTS", "Fault", "FaultTarget"]
+
+RESTART_DELAY_S = (0.3, 3.0)
+FAULT_DURATION_S = (1.0, 5.0)
+# A pause shorter than the reducers notice.
+SHORT_PAUSE_S = (0.05, 0.9)
+# Changes of the configuration in a storm, and the pauses between them.
+STORM_CHANGES = (3, 15)
+STORM_GAP_S = (0.02, 0.6)
+# Signals sent to a process before it is stopped, and the pauses between them.
+SIGNALS_BEFORE_STOP = (0, 4)
+SIGNAL_GAP_S = (0.0, 0.4)
+HARMLESS_SIGNALS = (signal.SIGHUP, signal.SIGSTOP)
+
+
+class FaultTarget(ABC):
+    """What the faults are injected into: a site of processes, with checks on its routes."""
+
+    random: Random
+    site: ProcessStreamSite
+    checker: RouteChecker
+    reserved: set[str]
+    change_lock: asyncio.Lock
+
+    @abstractmethod
+    async def expect_no_new_flows(self, where: str, opened: Callable[[], int]) -> None:
+        """Record new flows that arrive after a change should be in force."""
+
+    def pick_host(self, role: Role) -> StreamHost:
+        """Return a random host of a role, if possible one that no fault is using."""
+        hosts = [host for host in self.site.hosts.values() if host.role is role]
+        free = [host for host in hosts if host.name not in self.reserved]
+        return self.random.choice(free or hosts)
+
+    @asynccontextmanager
+    async def reserved_host(self, role: Role) -> AsyncIterator[StreamHost]:
+        """Reserve a host, so that no other fault uses it."""
+        host = self.pick_host(role)
+        while host.name in self.reserved:
+            await asyncio.sleep(0.1)
+        self.reserved.add(host.name)
+        try:
+            yield host
+        finally:
+            self.reserved.discard(host.name)
+
+    async def wait_random(self, bounds: tuple[float, float]) -> None:
+        """Wait for a random time between two bounds."""
+        await asyncio.sleep(self.random.uniform(*bounds))
+
+
+class Fault(NamedTuple):
+    """One kind of fault; every rule stays in force during a planned one."""
+
+    is_planned: bool
+    inject: Callable[[FaultTarget], Awaitable[None]]
+
+
+async def restart(target: FaultTarget, role: Role, number: signal.Signals) -> None:
+    """End a process with a signal and start it again."""
+    async with target.reserved_host(role) as host:
+        await target.site.end(host.name, number)
+        await target.wait_random(RESTART_DELAY_S)
+        await target.site.start_process(host)
+        await asyncio.sleep(1.0)
+
+
+async def signal_in_series(target: FaultTarget, role: Role) -> None:
+    """Send a process several signals in a row, the last of which stops it; start it at once."""
+    async with target.reserved_host(role) as host:
+        await target.site.wait_started(host.name)
+        for _ in range(target.random.randint(*SIGNALS_BEFORE_STOP)):
+            await signal_harmlessly(target, host.name)
+            await target.wait_random(SIGNAL_GAP_S)
+        stopping = asyncio.ensure_future(target.site.end(host.name, signal.SIGTERM))
+        await target.wait_random(SIGNAL_GAP_S)
+        target.site.send_signal(host.name, signal.SIGHUP)
+        await stopping
+        await target.site.start_process(host)
+        await asyncio.sleep(1.0)
+
+
+async def signal_harmlessly(target: FaultTarget, name: str) -> None:
+    """Make a process reload its settings, or pause it for less than it notices."""
+    number = target.random.choice(HARMLESS_SIGNALS)
+    target.site.send_signal(name, number)
+    if number is signal.SIGSTOP:
+        await target.wait_random(SHORT_PAUSE_S)
+        target.site.send_signal(name, signal.SIGCONT)
+
+
+async def pause(target: FaultTarget, role: Role) -> None:
+    """Suspend a process for a time and resume it."""
+    async with target.reserved_host(role) as host:
+        target.site.send_signal(host.name, signal.SIGSTOP)
+        await target.wait_random(FAULT_DURATION_S)
+        target.site.send_signal(host.name, signal.SIGCONT)
+
+
+async def kill_together(target: FaultTarget, share: float) -> None:
+    """Kill a share of the processes that no other fault is using, and start them again."""
+    free = [name for name in target.site.processes if name not in target.reserved]
+    names = target.random.sample(free, round(len(free) * share))
+    target.reserved.update(names)
+    try:
+        await asyncio.gather(*(target.site.kill_process(name) for name in names))
+        await target.wait_random(RESTART_DELAY_S)
+        for name in names:
+            await target.site.start_process(target.site.hosts[name])
+    finally:
+        target.reserved.difference_update(names)
+
+
+async def replace_upstream(target: FaultTarget) -> None:
+    """Close an upstream abruptly and start a new one at the same address."""
+    async with target.reserved_host(Role.AGENT) as host:
+        await target.site.upstreams[host.name].close()
+        await target.wait_random(RESTART_DELAY_S)
+        await target.site.start_upstream(host)
+
+
+async def drain_upstream(target: FaultTarget) -> None:
+    """Drain an upstream, check that it receives no new flows, and make it ready again."""
+    async with target.reserved_host(Role.AGENT) as host:
+        upstream = target.site.upstreams[host.name]
+        upstream.set_state("draining")
+        await target.expect_no_new_flows("a draining upstream", lambda: upstream.opened)
+        upstream.set_state("ready")
+
+
+async def withdraw_domain(target: FaultTarget) -> None:
+    """Withdraw a failure domain, check that it receives no new flows, and return it."""
+    site = target.site
+    domain = target.random.choice(sorted({host.failure_domain for host in site.agents()}))
+    async with target.change_lock:
+        site.store.put(f"op/evacuate/{domain}", {})
+        upstreams = [row for row in site.upstreams.values() if row.domain == domain]
+        await target.expect_no_new_flows(
+            "a withdrawn domain", lambda: sum(upstream.opened for upstream in upstreams)
+        )
+        site.store.delete(f"op/evacuate/{domain}")
+
+
+async def remove_route(target: FaultTarget) -> None:
+    """Remove a route, check that its callers open no new flows, and restore the route."""
+    site = target.site
+    address = site.service_address(SHEETS)
+    async with target.change_lock:
+        del site.routes[address]
+        site.publish()
+        upstreams = [row for row in site.upstreams.values() if row.service == SHEETS]
+        await target.expect_no_new_flows(
+            "a removed route",
+            lambda: sum(upstream.count_opened(address) for upstream in upstreams),
+        )
+        site.routes[address] = SHEETS
+        site.publish()
+
+
+async def storm_configurations(target: FaultTarget) -> None:
+    """Publish configurations in quick succession."""
+    for _ in range(target.random.randint(*STORM_CHANGES)):
+        target.checker.change_routes()
+        await target.wait_random(STORM_GAP_S)
+
+
+async def set_store_fault(target: FaultTarget, name: str, value: object, normal: object) -> None:
+    """Set an attribute of the store for a time and restore it."""
+    setattr(target.site.store, name, value)
+    target.site.store.wake_watches()
+    await target.wait_random(FAULT_DURATION_S)
+    setattr(target.site.store, name, normal)
+
+
+async def reject_some_hosts(target: FaultTarget) -> None:
+    """Let the store reject the calls of half the hosts for a time."""
+    hosts = list(target.site.hosts.values())
+    rejected = target.random.sample(hosts, len(hosts) // 2)
+    addresses = frozenset(target.site.store_address(host).ip for host in rejected)
+    await set_store_fault(target, "rejected_addresses", addresses, frozenset())
+
+
+async def compact_store(target: FaultTarget) -> None:
+    """Compact the history of the store."""
+    target.site.store.compact()
+
+
+FAULTS: dict[str, Fault] = {
+    "balancer killed": Fault(False, lambda t: restart(t, Role.BALANCER, signal.SIGKILL)),
+    "balancer stopped": Fault(True, lambda t: restart(t, Role.BALANCER, signal.SIGTERM)),
+    "balancer signalled": Fault(False, lambda t: signal_in_series(t, Role.BALANCER)),
+    "balancer paused": Fault(False, lambda t: pause(t, Role.BALANCER)),
+    "agent killed": Fault(False, lambda t: restart(t, Role.AGENT, signal.SIGKILL)),
+    "agent stopped": Fault(True, lambda t: restart(t, Role.AGENT, signal.SIGTERM)),
+    "agent signalled": Fault(False, lambda t: signal_in_series(t, Role.AGENT)),
+    "agent paused": Fault(False, lambda t: pause(t, Role.AGENT)),
+    "all killed": Fault(False, lambda t: kill_together(t, 1.0)),
+    "many killed": Fault(False, lambda t: kill_together(t, 0.5)),
+    "upstream replaced": Fault(False, replace_upstream),
+    "upstream drained": Fault(True, drain_upstream),
+    "domain withdrawn": Fault(True, withdraw_domain),
+    "route removed": Fault(True, remove_route),
+    "configurations in a storm": Fault(True, storm_configurations),
+    "store down": Fault(False, lambda t: set_store_fault(t, "is_down", True, False)),
+    "store slow": Fault(False, lambda t: set_store_fault(t, "delay_s", 0.4, 0.0)),
+    "store silent": Fault(False, lambda t: set_store_fault(t, "delay_s", 60.0, 0.0)),
+    "store rejects some": Fault(False, reject_some_hosts),
+    "store compacted": Fault(True, compact_store),
+}
--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import aiohttp
 import xxhash
@@ -15,17 +17,18 @@
 from heatheryoke.daemons.stream_settings import StreamSettings
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.process import READY_PATH
+from heatheryoke.standins.configuration_history import ConfigurationHistory, Machine
 from heatheryoke.standins.stream_caller import StreamCaller
 from heatheryoke.standins.stream_store import StreamStore
 from heatheryoke.standins.stream_upstream import StreamUpstream
 
-__all__ = ["FEEDS", "SHEETS", "Ports", "StreamHost", "StreamSite"]
+__all__ = ["FEEDS", "SHEETS", "SMALL_SITE", "Ports", "SiteSize", "StreamHost", "StreamSite"]
 
 DOMAINS = ("domain-1", "domain-2", "domain-3")
 FEEDS = "feeds"
 SHEETS = "sheets"
-BALANCERS = 3
-AGENTS = {FEEDS: 5, SHEETS: 3}
+SERVICES = (FEEDS, SHEETS)
+KINDS = {FEEDS: "idempotent", SHEETS: "download"}
 PROBE_S = 0.25
 PROBE_FAILURE_LIMIT = 2
 HEARTBEAT_S = 1.0
@@ -45,6 +48,17 @@
     store: int
 
 
+class SiteSize(NamedTuple):
+    """How many processes a site has: balancers, and agents of each service."""
+
+    balancers: int
+    feed_agents: int
+    sheet_agents: int
+
+
+SMALL_SITE = SiteSize(3, 5, 3)
+
+
 class StreamHost(NamedTuple):
     """Host with its role, failure domain and, for an agent, the service of its upstream."""
 
@@ -61,18 +75,22 @@
     Subclasses may run the balancers and agents elsewhere.
     """
 
-    def __init__(self, seed: int):
+    def __init__(self, seed: int, size: SiteSize = SMALL_SITE):
+        self.size = size
         self.random = random.Random(seed)
         first = self.random.randrange(FIRST_PORTS, LAST_PORTS, 10)
         self.ports = Ports(*range(first, first + len(Ports._fields)))
         self.store = StreamStore()
-        self.store_address = Address("127.23.0.1", self.ports.store)
         self.hosts = {host.name: host for host in self.make_hosts()}
         self.upstreams: dict[str, StreamUpstream] = {}
         self.applications: dict[str, StreamApplication] = {}
         self.callers: list[StreamCaller] = []
         self.probe_failures: dict[str, int] = {}
         self.version = 0
+        self.routes = {self.service_address(service): service for service in SERVICES}
+        self.history = ConfigurationHistory(CHANGE_WITHIN_S)
+        self.incarnations: Counter[str] = Counter()
+        self.all_upstreams: list[StreamUpstream] = []
         self.first_start = True
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -80,23 +98,39 @@
         """Return the hosts, spread over the failure domains."""
         hosts = [
             StreamHost(f"balancer-{n}", Role.BALANCER, f"127.20.0.{n}", DOMAINS[n % 3])
-            for n in range(1, BALANCERS + 1)
+            for n in range(1, self.size.balancers + 1)
         ]
-        services = [name for name, count in AGENTS.items() for _ in range(count)]
+        services = [FEEDS] * self.size.feed_agents + [SHEETS] * self.size.sheet_agents
         for number, service in enumerate(services, 1):
             ip, domain = f"127.21.0.{number}", DOMAINS[number % 3]
             hosts.append(StreamHost(f"agent-{number}", Role.AGENT, ip, domain, service))
         return hosts
 
+    def balancers(self) -> list[StreamHost]:
+        """Return the hosts of balancers."""
+        return [host for host in self.hosts.values() if host.role is Role.BALANCER]
+
+    def agents(self) -> list[StreamHost]:
+        """Return the hosts with an upstream."""
+        return [host for host in self.hosts.values() if host.role is Role.AGENT]
+
     def service_address(self, service: str) -> Address:
         """Return the address that callers use for a service."""
-        return Address("198.18.0.1", 1_000 + list(AGENTS).index(service))
+        return Address("198.18.0.1", 1_000 + SERVICES.index(service))
+
+    def store_address(self, host: StreamHost) -> Address:
+        """Return the address at which a host calls the store."""
+        return Address(host.ip.replace("127.", "127.1", 1), self.ports.store)
+
+    def machine(self, host_name: str) -> Machine:
+        """Return the present incarnation of a host's process."""
+        return Machine(host_name, self.incarnations[host_name])
 
     # Life cycle
 
     async def start(self) -> None:
         """Start the deployment and wait until all balancers are in rotation."""
-        await self.store.start(self.store_address)
+        await self.store.start(*map(self.store_address, self.hosts.values()))
         self.publish()
         for host in self.hosts.values():
             if host.role is Role.AGENT:
@@ -108,7 +142,7 @@
             loop.create_task(self.probe_balancers()),
             loop.create_task(self.renew_entries()),
         ]
-        while len(self.in_rotation()) < BALANCERS:
+        while len(self.in_rotation()) < self.size.balancers:
             await asyncio.sleep(PROBE_S)
         self.first_start = False
 
@@ -125,45 +159,46 @@
             await upstream.close()
         await self.store.close()
 
-    def publish(self, without: str = "") -> None:
-        """Write a new configuration, without the route of the service `without`."""
+    def publish(self) -> None:
+        """Write a new configuration with the present routes."""
         self.version += 3
-        kinds = {FEEDS: "idempotent", SHEETS: "download"}
-        routes = [
-            {
-                "name": f"r-{service}",
-                "host": self.service_address(service).ip,
-                "prefix": f"/{self.service_address(service).port}/",
-                "kind": kind,
-                "timeoutMs": 2_000,
-                "targetLatencyMs": 200,
-                "priority": 1,
-                "service": service,
-                "maxAttempts": 2,
-            }
-            for service, kind in kinds.items()
-            if service != without
-        ]
-        services = [
-            {"name": service, "maxConns": 2_000, "warmupS": 2.0, "warmupPerS": 0.0}
-            for service in kinds
-        ]
-        limits = {"idleTimeoutMs": 15_000}
         value = {
             "version": self.version,
-            "routes": routes,
-            "services": services,
-            "limits": limits,
+            "routes": [self.route_entry(*row) for row in self.routes.items()],
+            "services": [
+                {"name": service, "maxConns": 2_000, "warmupS": 2.0, "warmupPerS": 0.0}
+                for service in SERVICES
+            ],
+            "limits": {"idleTimeoutMs": 15_000},
         }
         self.store.put("op/config", value)
+        self.history.publish(self.version, asyncio.get_running_loop().time(), self.routes)
+
+    @staticmethod
+    def route_entry(address: Address, service: str) -> dict[str, Any]:
+        """Return a route as the configuration describes it."""
+        return {
+            "name": f"r-{address.ip}-{address.port}",
+            "host": address.ip,
+            "prefix": f"/{address.port}/",
+            "kind": KINDS[service],
+            "timeoutMs": 2_000,
+            "targetLatencyMs": 200,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2,
+        }
 
     async def start_upstream(self, host: StreamHost) -> None:
         """Start the upstream of a host under a new name."""
         app = Address(host.ip, self.ports.app)
         answers = Address(host.ip, self.ports.answers)
         name = f"i-{self.random.getrandbits(32):08x}"
-        upstream = StreamUpstream(name, host.service, host.failure_domain, app, answers, self.store)
+        upstream = StreamUpstream(
+            name, host.service, host.failure_domain, app, answers, self.store, host.name
+        )
         self.upstreams[host.name] = upstream
+        self.all_upstreams.append(upstream)
         await upstream.start()
 
     # Balancers and agents
@@ -179,7 +214,7 @@
             (self.ports.peers, self.ports.peers),
             Address(host.ip, self.ports.callers),
             Address(host.ip, self.ports.status),
-            self.store_address,
+            self.store_address(host),
             CHANGE_WITHIN_S,
             CHANGE_WITHIN_S,
             Address(host.ip, self.ports.answers) if is_agent else None,
@@ -195,6 +230,7 @@
             self.settings(host), Path(host.name), JsonLog(host.name, descriptor=None)
         )
         self.applications[host.name] = application
+        self.incarnations[host.name] += 1
         await application.start()
 
     async def stop_process(self, name: str) -> None:
@@ -259,11 +295,13 @@
         host = nodes[xxhash.xxh32_intdigest(flow) % len(nodes)]
         return Address(host.ip, self.ports.callers)
 
-    async def add_caller(self) -> StreamCaller:
-        """Start another caller and return it."""
+    async def add_caller(
+        self, route: Callable[[FlowKey], Address | None] | None = None
+    ) -> StreamCaller:
+        """Start another caller, whose packets take the router's or another way, and return it."""
         number = len(self.callers) + 1
-        address = Address(f"127.22.0.{number}", self.ports.callers)
-        caller = StreamCaller(address, self.route, number)
+        address = Address(f"127.22.{number // 250}.{number % 250 + 1}", self.ports.callers)
+        caller = StreamCaller(address, route or self.route, number)
         await caller.start()
         self.callers.append(caller)
         return caller
--- a/src/heatheryoke/standins/stream_store.py
+++ b/src/heatheryoke/standins/stream_store.py
@@ -16,7 +16,10 @@
 
 
 class StreamStore:
-    """Stores items in memory; may be down, slow, or compacted."""
+    """Stores items in memory; may be down, slow, or compacted, for all hosts or some of them.
+
+    Each host calls it at an address of its own, which tells who is calling.
+    """
 
     def __init__(self):
         self.revision = 1
@@ -24,13 +27,14 @@
         self.events: list[dict[str, Any]] = []
         self.last_dropped = 0
         self.is_down = False
+        self.rejected_addresses: frozenset[str] = frozenset()
         self.delay_s = 0.0
         self.calls = 0
         self.changed = asyncio.Event()
         self.runner: web.AppRunner | None = None
 
-    async def start(self, address: Address) -> None:
-        """Start the HTTP server."""
+    async def start(self, *addresses: Address) -> None:
+        """Start the HTTP server at all addresses."""
         app = web.Application()
         app.router.add_get("/v1/kv-range", self.on_range)
         app.router.add_get("/v1/kv-watch", self.on_watch)
@@ -38,7 +42,8 @@
             app, access_log=None, handle_signals=False, shutdown_timeout=0.2
         )
         await self.runner.setup()
-        await web.TCPSite(self.runner, address.ip, address.port).start()
+        for address in addresses:
+            await web.TCPSite(self.runner, address.ip, address.port).start()
 
     async def close(self) -> None:
         """Stop the HTTP server."""
@@ -80,16 +85,21 @@
         self.events = self.events[len(dropped) :]
         self.wake_watches()
 
-    async def admit(self) -> None:
-        """Count a call and delay it; raise `HTTPServiceUnavailable` if the store is down."""
+    def check_available(self, request: web.Request) -> None:
+        """Raise `HTTPServiceUnavailable` if the store is down, or rejects the caller."""
+        called_ip = request.transport.get_extra_info("sockname")[0] if request.transport else ""
+        if self.is_down or called_ip in self.rejected_addresses:
+            raise web.HTTPServiceUnavailable
+
+    async def admit(self, request: web.Request) -> None:
+        """Count a call and delay it; raise `HTTPServiceUnavailable` if it is rejected."""
         self.calls += 1
         await asyncio.sleep(self.delay_s)
-        if self.is_down:
-            raise web.HTTPServiceUnavailable
+        self.check_available(request)
 
     async def on_range(self, request: web.Request) -> web.Response:
         """Answer with a page of the items under a prefix."""
-        await self.admit()
+        await self.admit(request)
         prefix, after = request.query.get("prefix", ""), request.query.get("after", "")
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
         page = [self.items[key] for key in keys[:PAGE_ITEMS]]
@@ -98,12 +108,11 @@
 
     async def on_watch(self, request: web.Request) -> web.Response:
         """Answer with the events after a revision, or with none when the wait expires."""
-        await self.admit()
+        await self.admit(request)
         prefix, after = request.query.get("prefix", ""), int(request.query["after"])
         ends = asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1000
         while True:
-            if self.is_down:
-                raise web.HTTPServiceUnavailable
+            self.check_available(request)
             if after < self.last_dropped:
                 raise web.HTTPGone
             events = [event for event in self.events if event["revision"] > after]
--- a/src/heatheryoke/standins/stream_upstream.py
+++ b/src/heatheryoke/standins/stream_upstream.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 import time
+from typing import NamedTuple
 
-from heatheryoke.core.flows import FlowKey, describe_flow
+from heatheryoke.core.flows import FlowKey, describe_flow, flow_tuple
 from heatheryoke.daemons.datagrams import Datagram, DatagramSocket
 from heatheryoke.inventory.model import Address
 from heatheryoke.platform.packets import ACK, BOUNCED, FIN, RST, SYN, Side, packet_flow
@@ -19,6 +20,13 @@
 FLAGS_OFFSET = 20
 
 
+class Opening(NamedTuple):
+    """When a flow was opened, and by which copy of its caller's first packet (from 0)."""
+
+    at: float
+    copy: int
+
+
 class Connection:
     """State of one flow at the upstream."""
 
@@ -40,8 +48,10 @@
         app: Address,
         answers: Address,
         store: StreamStore,
+        host_name: str = "",
     ):
         self.name = name
+        self.host_name = host_name
         self.service = service
         self.domain = domain
         self.app = app
@@ -56,6 +66,8 @@
         self.connections: dict[FlowKey, Connection] = {}
         self.served = 0
         self.opened = 0
+        self.openings: dict[FlowKey, Opening] = {}
+        self.run_flows: set[FlowKey] = set()
         self.altered = 0
         self.free_slots = asyncio.Semaphore(self.slots)
         self.tasks: set[asyncio.Task[None]] = set()
@@ -79,6 +91,10 @@
         self.state = state
         self.write_entry()
 
+    def count_opened(self, address: Address) -> int:
+        """Return how many flows to a caller's address were opened."""
+        return sum(flow_tuple(flow).service == address for flow in self.openings)
+
     def write_entry(self) -> None:
         """Write this upstream's entry to the store."""
         self.sequence += 1
@@ -124,6 +140,9 @@
         """Accept a flow, or acknowledge a repeated SYN again."""
         if connection is None:
             self.opened += 1
+            self.openings[flow] = Opening(
+                asyncio.get_running_loop().time(), packet.head.acknowledged
+            )
             start = self.random.getrandbits(32)
             connection = Connection(start + 1, packet.head.sequence + 1)
             self.connections[flow] = connection
@@ -151,6 +170,7 @@
         async with self.free_slots:
             await asyncio.sleep(self.work_s)
         self.served += 1
+        self.run_flows.add(flow)
         line = request.split(b"\r\n", 1)[0]
         body = (line + b" " + describe_flow(flow).encode() + b" ").ljust(self.response_bytes, b".")
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
