Let a first packet go by the configuration of its balancer, or not at all

Callers saw: flows through one balancer went by a new configuration and, up to 1.8 s later, by the former one, and a route that had been added was not served. Cause: each hop judged a first packet anew. An agent ahead of the balancer put its own newer route in place of the balancer's choice, so that the balancer's flows showed a version it did not have; its next flow, through agents behind, went by the older. And a datagram named the version of its last sender, so that a second agent that was behind judged by its own version what the balancer had admitted by a newer one. Change: the balancer decides. A first packet keeps the version its service was selected by (StoreNode.epoch_of, in the datagram's header as before, so that the former release reads it). An agent follows it, or drops the packet if a newer configuration here has no route for it or another; it never selects another service. Why it works: a balancer's own version never falls, and now nothing else decides for its flows. Not mended here: how long a process stays behind.

--- a/src/heatheryoke/core/linked_node.py
+++ b/src/heatheryoke/core/linked_node.py
@@ -168,8 +168,10 @@
     def on_relayed(self, event: PeerMessageArrived) -> list[Effect]:
         """Handle a relayed message, or send it on for a process that cannot reach the target."""
         origin, target, message = event.message
+        is_forward = isinstance(message, Forward)
+        if is_forward and message.kind is PacketKind.OPENS:
+            message = message._replace(service_epoch=event.epoch)
         if target == self.peer_address:
-            is_forward = isinstance(message, Forward)
             event_type = ForwardArrived if is_forward else PeerMessageArrived
             return self.event_handlers[event_type](
                 event_type(event.now, origin, event.epoch, message)
@@ -177,7 +179,7 @@
         host = self.current_topology.hosts_by_address.get(target)
         if host is None or not self.reachability.is_domain_reachable(host.failure_domain):
             return [Count("dropped_relayed")]
-        if isinstance(message, Forward):
+        if is_forward:
             return [Count("relayed_for_others"), SendForward(target, message)]
         return [Count("relayed_for_others"), SendPeer(target, event.message)]
 
--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -19,7 +19,7 @@
     StoreRead,
     Tick,
 )
-from heatheryoke.core.messages import Forward, PeerMessage, StoreUpdate
+from heatheryoke.core.messages import Forward, PeerMessage, Relayed, StoreUpdate
 from heatheryoke.core.node import Node
 from heatheryoke.core.records import StoreItem
 from heatheryoke.core.routed_topology import RoutedTopology
@@ -62,7 +62,14 @@
         return self.current_topology.route_table.version if self.current_topology else 0
 
     def epoch_of(self, message: Forward | PeerMessage) -> int:
-        """Return the version that a message to another process is sent under."""
+        """Return the version that a message to another process is sent under.
+
+        A first packet keeps the version that its service was selected by.
+        """
+        if type(message) is Relayed:
+            return self.epoch_of(message.message)
+        if type(message) is Forward and message.service_epoch:
+            return message.service_epoch
         return self.epoch
 
     def is_muted(self) -> bool:
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -4,12 +4,11 @@
 from typing import Any
 
 from heatheryoke.core.directory import Directory
-from heatheryoke.core.effects import Count, Effect, SendPeer
+from heatheryoke.core.effects import Count, Effect, LogFlow, SendPeer
 from heatheryoke.core.events import ForwardArrived, PeerMessageArrived
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest
 from heatheryoke.core.stream_search import StreamSearch
-from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address, Service
 
 __all__ = ["StreamAgent"]
@@ -56,38 +55,53 @@
         return effects + self.forward_unknown(message, now)
 
     def on_opening(self, event: ForwardArrived) -> list[Effect]:
-        """Place a new flow by the sender's or this process's configuration, whichever is newer.
+        """Place a new flow by the configuration that its balancer selected the service by.
 
         A flow that another agent passed on is placed here even if this host is not its home, since
         the views of the two agents may differ.
         """
-        message = event.message
-        service = self.topology.service_of(message.flow)
-        if event.epoch > self.epoch:
-            service = self.topology.service_ids.get(message.service_id)
+        message = event.message._replace(service_epoch=event.epoch)
+        service = self.agreed_service(message)
         if service is None:
-            return [Count("dropped_wrong_service")]
+            return self.drop_outdated(message)
         passed_on = message.hops < HOP_LIMIT
-        message = message._replace(
-            service_id=name_hash(service.name),
-            place_here=passed_on,
-            service_epoch=max(event.epoch, self.epoch),
-        )
+        message = message._replace(place_here=passed_on)
         if self.host_name not in self.topology.hosts:
             return self.pass_on_outside_view(message, service, event.now)
         if not passed_on and not self.is_home_usable(message.flow):
             message = message._replace(place_here=True)
         return self.route(message, service, event.now)
 
+    def agreed_service(self, message: Forward) -> Service | None:
+        """Return the service of a new flow, None if a newer configuration here contradicts it.
+
+        Selecting another service here would make the balancer's flows show a configuration that
+        the balancer lacks, and its next flow, passed to another agent, an older one.
+        """
+        service = self.topology.service_ids.get(message.service_id)
+        if message.service_epoch > self.epoch or self.topology.service_of(message.flow) is service:
+            return service
+        return None
+
+    def drop_outdated(self, message: Forward) -> list[Effect]:
+        """Drop a new flow; its caller's next copy finds the balancer at the newer configuration."""
+        facts = (("reason", "outdated service"), ("service_by", message.service_epoch))
+        return [
+            Count("openings_outdated"),
+            LogFlow(message.flow, "dropped", (*facts, *self.decision_facts(self.last_event))),
+        ]
+
     def is_home_usable(self, flow: FlowKey) -> bool:
         """Return whether any home of a flow is within reach, or is this host."""
         return any(self.is_usable(home) for home in self.topology.homes(flow))
 
     def resend_opening(self, message: Forward, now: float) -> list[Effect]:
         """Pass a first packet to another candidate than the one that has not acknowledged it."""
-        service = self.topology.service_of(message.flow)
-        if service is None or message.flow in self.flows.flows:
-            return [Count("dropped_wrong_service" if service is None else "openings_repeated")]
+        if message.flow in self.flows.flows:
+            return [Count("openings_repeated")]
+        service = self.agreed_service(message)
+        if service is None:
+            return self.drop_outdated(message)
         message = message._replace(assigned=False, place_here=True)
         if self.host_name not in self.topology.hosts:
             return self.pass_on_outside_view(message, service, now)
--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -174,11 +174,11 @@
         self.store.put("op/config", value)
         self.history.publish(self.version, asyncio.get_running_loop().time(), self.routes)
 
-    @staticmethod
-    def route_entry(address: Address, service: str) -> dict[str, Any]:
+    def route_entry(self, address: Address, service: str) -> dict[str, Any]:
         """Return a route as the configuration describes it."""
+        is_main = address == self.service_address(service)
         return {
-            "name": f"r-{address.ip}-{address.port}",
+            "name": f"r-{service}" if is_main else f"r-{address.ip}-{address.port}",
             "host": address.ip,
             "prefix": f"/{address.port}/",
             "kind": KINDS[service],
--- a/tests/test_configuration_decisions.py
+++ b/tests/test_configuration_decisions.py
@@ -39,14 +39,15 @@
 )
 
 EXTRA = Address("198.18.0.3", 443)
+STAYS = Address("198.18.0.4", 443)
 
 
 def routes(**services):
-    """Return routes of the given services; None leaves one out."""
-    addresses = {"feed": FEED, "hold": HOLD, "extra": EXTRA}
+    """Return routes of the given services, of which None leaves one out, and one that stays."""
+    addresses = {"feed": FEED, "hold": HOLD, "extra": EXTRA, "stays": STAYS}
     return tuple(
         Route(name, addresses[name], (Share(service, 1.0),), True, 0.1, 1.5, 2)
-        for name, service in services.items()
+        for name, service in (services | {"stays": "live"}).items()
         if service is not None
     )
 
