Check a first packet against the configuration again before it starts after a wait

Callers saw (in tests only): a flow that was admitted before its route was removed, and then waited for room (up to 1.1 s), was returned by its upstream, or was sent another way, was started although the process that started it had the newer configuration by then. It was looked for wherever a first packet is kept: the queue of an agent, the packets returned by an upstream, the unacknowledged packets of balancers and agents. Found in three of four places; the fourth, an agent that sends a packet another way, asked its own configuration anew. Change: flows that wait are checked as soon as a new configuration is in force, and reset at once if it contradicts them (nothing has run); returned ones are dropped as outdated; a balancer selects the service anew.

--- a/src/heatheryoke/core/forwarder.py
+++ b/src/heatheryoke/core/forwarder.py
@@ -49,10 +49,12 @@
             self.hints.pop(event.flow, None)
         return [SendForward(host.address, self.forward(event, service, event.kind))]
 
-    def forward(self, event: CallerPacket, service: Service, kind: PacketKind) -> Forward:
+    def forward(
+        self, packet: CallerPacket | Forward, service: Service, kind: PacketKind
+    ) -> Forward:
         """Return the message that carries a caller's packet of a service."""
         service_id = name_hash(service.name)
-        return Forward(event.flow, service_id, kind, HOP_LIMIT, self.address, event.payload)
+        return Forward(packet.flow, service_id, kind, HOP_LIMIT, self.address, packet.payload)
 
     def next_host(self, flow: FlowKey, service: Service) -> Host | None:
         """Return the cached owner if usable, else the first usable home, else the first home."""
--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -48,6 +48,35 @@
             return self.queue_flow(message, now)
         return self.start_flow(message, service, now)
 
+    def agreed_service(self, message: Forward) -> Service | None:
+        """Return the service of a new flow, None if a newer configuration here contradicts it.
+
+        Selecting another service here would make the balancer's flows show a configuration that
+        the balancer lacks, and its next flow, passed to another agent, an older one.
+        """
+        service = self.topology.service_ids.get(message.service_id)
+        if message.service_epoch > self.epoch or self.topology.service_of(message.flow) is service:
+            return service
+        return None
+
+    def drop_outdated(self, message: Forward) -> list[Effect]:
+        """Drop a new flow; its caller's next copy finds the balancer at the newer configuration."""
+        facts = (("reason", "outdated service"), ("service_by", message.service_epoch))
+        return [
+            Count("openings_outdated"),
+            LogFlow(message.flow, "dropped", (*facts, *self.decision_facts(self.last_event))),
+        ]
+
+    def refuse_outdated(self) -> list[Effect]:
+        """Refuse the waiting flows that the configuration in force contradicts."""
+        effects: list[Effect] = []
+        for message in [entry.packet for entry in self.queue.waiting.values()]:
+            if self.agreed_service(message) is None:
+                self.queue.remove(message.flow)
+                service = self.topology.services.get(self.service)
+                effects += self.refuse_flow(message, service, "route changed while waiting")
+        return effects
+
     def has_room(self) -> bool:
         """Return whether the upstream can start one more request now or very soon."""
         endpoint = self.topology.endpoints.get((self.service, self.host_name))
@@ -101,6 +130,7 @@
         owned = OwnedStream(message.flow, service.name, generation, 0, now)
         owned.via = message.via
         owned.visited = message.visited
+        owned.service_epoch = message.service_epoch
         owned.feed = opens_feed
         self.adopt(owned, now)
         self.schedule_removal(owned, now)
@@ -141,7 +171,6 @@
         """Place a new flow elsewhere after the upstream returned its first packet."""
         if owned is None or owned.accepted is not None:
             return [Count("dropped_returned")]
-        service = self.topology.services.get(owned.service)
         message = Forward(
             flow,
             name_hash(owned.service),
@@ -150,8 +179,12 @@
             owned.via or NO_ADDRESS,
             payload,
             owned.visited,
+            service_epoch=owned.service_epoch,
         )
         effects = [Count("openings_returned"), *self.give_up(owned, now)]
+        service = self.agreed_service(message)
+        if service is None:
+            return effects + self.drop_outdated(message)
         facts = (
             ("service", owned.service),
             ("busy", len(self.in_progress)),
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from heatheryoke.core.directory import Directory
-from heatheryoke.core.effects import Count, Effect, LogFlow, SendPeer
+from heatheryoke.core.effects import Count, Effect, SendPeer
 from heatheryoke.core.events import ForwardArrived, PeerMessageArrived
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest
@@ -72,25 +72,6 @@
             message = message._replace(place_here=True)
         return self.route(message, service, event.now)
 
-    def agreed_service(self, message: Forward) -> Service | None:
-        """Return the service of a new flow, None if a newer configuration here contradicts it.
-
-        Selecting another service here would make the balancer's flows show a configuration that
-        the balancer lacks, and its next flow, passed to another agent, an older one.
-        """
-        service = self.topology.service_ids.get(message.service_id)
-        if message.service_epoch > self.epoch or self.topology.service_of(message.flow) is service:
-            return service
-        return None
-
-    def drop_outdated(self, message: Forward) -> list[Effect]:
-        """Drop a new flow; its caller's next copy finds the balancer at the newer configuration."""
-        facts = (("reason", "outdated service"), ("service_by", message.service_epoch))
-        return [
-            Count("openings_outdated"),
-            LogFlow(message.flow, "dropped", (*facts, *self.decision_facts(self.last_event))),
-        ]
-
     def is_home_usable(self, flow: FlowKey) -> bool:
         """Return whether any home of a flow is within reach, or is this host."""
         return any(self.is_usable(home) for home in self.topology.homes(flow))
@@ -146,16 +127,18 @@
 
     def on_topology(self, now: float) -> list[Effect]:
         """Register flows whose homes have changed; at the first view, ask peers for their flows."""
+        refusals = self.refuse_outdated()
         for owned in self.flows.flows.values():
             homes = tuple(home.name for home in self.topology.homes(owned.flow))
             if homes != owned.homes:
                 self.registrar.register(owned, self.topology)
         if self.has_asked_peers or self.first_start:
-            return []
+            return refusals
         self.has_asked_peers = True
         request = RecoveryRequest(self.host_name, self.incarnation, 0)
         hosts = self.topology.document.hosts
-        return [SendPeer(host.address, request) for host in hosts if host.name != self.host_name]
+        peers = [host.address for host in hosts if host.name != self.host_name]
+        return [*refusals, *(SendPeer(address, request) for address in peers)]
 
     def on_pause_ended(self, now: float) -> list[Effect]:
         """Register every flow again, since another owner may have registered during the pause."""
--- a/src/heatheryoke/core/stream_balancer.py
+++ b/src/heatheryoke/core/stream_balancer.py
@@ -4,12 +4,12 @@
 
 from heatheryoke.core.effects import AnswerCaller, Count, Effect, LogFlow, SendForward
 from heatheryoke.core.events import CallerPacket
-from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.forwarder import Forwarder
 from heatheryoke.core.linked_node import LinkedNode
-from heatheryoke.core.messages import HOP_LIMIT, Forward
+from heatheryoke.core.messages import Forward
 from heatheryoke.core.streams import StreamCodec, StreamHeader
-from heatheryoke.inventory.model import Address, Host
+from heatheryoke.inventory.model import Address, Host, Service
 
 __all__ = ["StreamBalancer"]
 
@@ -46,8 +46,9 @@
         host = self.choose_host(event.flow, head)
         if host is None:
             return [Count("dropped_no_host")]
-        message = self.forward(event, service, head.kind)
-        return [SendForward(host.address, message._replace(service_epoch=self.epoch))]
+        if head.opens:
+            return [SendForward(host.address, self.forward_opening(event, service))]
+        return [SendForward(host.address, self.forward(event, service, head.kind))]
 
     def choose_host(self, flow: FlowKey, head: StreamHeader) -> Host | None:
         """Return the cached owner, else a home; copies of a first packet alternate between them.
@@ -69,12 +70,22 @@
         return next((host for host in ranked if self.is_usable(host)), None)
 
     def resend_opening(self, message: Forward, now: float) -> list[Effect]:
-        """Send a first packet to another home, or to a host that takes the homes' place."""
+        """Send a first packet to another home, or to a host that takes the homes' place.
+
+        Its service is selected anew, since the configuration may have changed meanwhile.
+        """
+        service = self.topology.service_of(message.flow)
+        if service is None:
+            return [Count("dropped_no_route")]
         head = self.codec.read_header(message.payload)
         host = self.choose_host(message.flow, head)
         if host is None:
             return [Count("dropped_no_host")]
-        return [SendForward(host.address, message._replace(hops=HOP_LIMIT))]
+        return [SendForward(host.address, self.forward_opening(message, service))]
+
+    def forward_opening(self, packet: CallerPacket | Forward, service: Service) -> Forward:
+        """Return the message that carries a first packet by the configuration in force."""
+        return self.forward(packet, service, PacketKind.OPENS)._replace(service_epoch=self.epoch)
 
     @property
     def peer_address(self) -> Address:
--- a/src/heatheryoke/core/streams.py
+++ b/src/heatheryoke/core/streams.py
@@ -62,7 +62,8 @@
 
     `accepted` is the sequence number of the upstream's first packet, None while unknown.
     `has_request` is set while a request is in progress. It arrived at `waiting_since`;
-    `had_free_slot` is set if the upstream had a free slot for it.
+    `had_free_slot` is set if the upstream had a free slot for it. `service_epoch` is the version of
+    the configuration that the service was selected by, 0 if unknown.
     """
 
     __slots__ = (
@@ -73,6 +74,7 @@
         "has_request",
         "is_over",
         "removal_due",
+        "service_epoch",
         "upstream_closed",
         "via",
         "visited",
@@ -92,6 +94,7 @@
         self.removal_due = now
         self.via: Address | None = None
         self.visited: tuple[Visit, ...] = ()
+        self.service_epoch = 0
 
     def contradicts(self, head: StreamHeader) -> bool:
         """Return whether a caller's packet shows that another upstream accepted the flow."""
