Send a change on although this reader had it from another reader

Cause: an update says that it carries all changes from one revision to another, but left out what the sender's own view held already, also what it had only just received from another reader. A process that lost the other reader's datagram then took the update as complete, and missed the change for good: an upstream that drains, is gone or is new. Change: only an entry that the sender has held unchanged since the update's first revision is left out, as a heartbeat. Before: TestLostUpdate fails three times (draining, gone, new); after: passes.

--- a/src/heatheryoke/core/store_updates.py
+++ b/src/heatheryoke/core/store_updates.py
@@ -19,22 +19,27 @@
 def make_store_update(
     view: StoreView, rank: int, after: int, revision: int, items: tuple[StoreItem, ...]
 ) -> StoreUpdate | None:
-    """Return the changes that `view` does not have yet, None if there are too many.
+    """Return the changes after a revision for processes that have all up to it.
 
-    If any item of a name is a change, all items of that name are sent, since one may undo the one
-    before.
+    Return None if there are too many. Heartbeats are left out. If any item of a name is a
+    change, all items of that name are sent, since one may undo the one before.
     """
     if after == 0:
         return None
-    changed = {(item.subject, item.name) for item in items if _is_change(view, item)}
+    changed = {(item.subject, item.name) for item in items if _is_change(view, item, after)}
     included = tuple(item for item in items if (item.subject, item.name) in changed)
     return StoreUpdate(rank, after, revision, included) if len(included) <= MAXIMUM_ITEMS else None
 
 
-def _is_change(view: StoreView, item: StoreItem) -> bool:
-    """Return whether an item is more than a heartbeat that repeats the entry held."""
+def _is_change(view: StoreView, item: StoreItem, after: int) -> bool:
+    """Return whether an item is more than a heartbeat that repeats the entry as of a revision.
+
+    An entry that `view` has had from elsewhere since then may be new to the receivers.
+    """
     if item.subject is not Subject.ENDPOINT:
         return True
+    if view.revisions.get((item.subject, item.name), 0) > after:
+        return True
     held = view.endpoints.get(item.name)
     if not isinstance(item.record, EndpointRecord):
         return held is not None
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -157,6 +158,34 @@
     return item._replace(record=item.record._replace(routes=many))
 
 
+class TestLostUpdate:
+    """A reader that has a change from another reader sends it all the same: others may lack it."""
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            endpoint(1, 6, is_draining=True),
+            endpoint(1, 6)._replace(present=False, record=None),
+            endpoint(4, 6),
+        ],
+        ids=["draining", "gone", "new"],
+    )
+    def test_a_change_is_not_missed_for_good(self, change):
+        first, second, listener = (StoreView(PORT) for _ in range(3))
+        for view in (first, second, listener):
+            view.replace(FIRST, NOW)
+            view.note_complete(5)
+        lost = make_store_update(first, 1, 5, 6, (change,))
+        second.apply(lost.items, NOW)
+        second.note_complete(6)
+        items = (change, endpoint(2, 7, is_draining=True))
+        update = make_store_update(second, 2, 5, 7, items)
+        listener.apply(update.items, NOW)
+        second.apply(items, NOW)
+        assert listener.topology().hosts == second.topology().hosts
+        assert listener.endpoints == second.endpoints
+
+
 class TestParts:
     """Load pattern: the configuration changes, and hundreds of processes need all of it."""
 
