Keep what a peer has sent while a complete read was on its way

Cause: after the store has dropped its history a process reads all items anew, and takes for removed what the read lacks. A withdrawal or an upstream that a peer's update had brought meanwhile was removed again, at a revision one above its own, so that the watch, which returned it next, was ignored: a withdrawn failure domain stayed in use. Change: a read removes only what is not held at a later revision than the read's. Before: TestSlowRead fails twice (withdrawal, new upstream); after: passes.

--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -153,7 +153,7 @@
         """Apply a complete read of the store."""
         effects = self.note_available(event.now)
         self.view_source = "complete read"
-        changed = self.view.replace(event.items, event.now)
+        changed = self.view.replace(event.items, event.revision, event.now)
         self.view.note_complete(event.revision)
         return effects + self.update_topology(changed, event.now)
 
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -86,8 +86,11 @@
         """Record that every change up to a revision has been applied."""
         self.complete_to = max(self.complete_to, revision)
 
-    def replace(self, items: tuple[StoreItem, ...], now: float) -> bool:
-        """Apply a complete read and remove what it lacks; return whether the topology changes."""
+    def replace(self, items: tuple[StoreItem, ...], revision: int, now: float) -> bool:
+        """Apply a complete read as of a revision; return whether the topology changes.
+
+        What the read lacks is removed, unless a later change of it is held from a peer.
+        """
         self.first_read_at = min(self.first_read_at, now)
         present = {(item.subject, item.name) for item in items}
         held = [
@@ -95,9 +98,9 @@
             *((Subject.WITHDRAWAL, name) for name in self.withdrawn),
         ]
         removed = [
-            StoreItem(subject, name, self.revisions.get((subject, name), 0) + 1, False, None)
+            StoreItem(subject, name, self.revisions[subject, name] + 1, False, None)
             for subject, name in held
-            if (subject, name) not in present
+            if (subject, name) not in present and self.revisions[subject, name] <= revision
         ]
         return self.apply((*removed, *items), now)
 
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -114,7 +114,7 @@
     def test_receivers_have_the_same_view_as_the_reader(self, batches):
         reader, listener = StoreView(PORT), StoreView(PORT)
         for view in (reader, listener):
-            view.replace(FIRST, NOW)
+            view.replace(FIRST, 5, NOW)
             view.note_complete(5)
         for number, batch in enumerate(batches):
             now, after = NOW + number, reader.complete_to
@@ -143,7 +143,7 @@
 
     def test_a_heartbeat_is_not_a_change(self):
         view = StoreView(PORT)
-        view.replace(FIRST, NOW)
+        view.replace(FIRST, 5, NOW)
         assert make_store_update(view, 7, 5, 9, (endpoint(1, 9),)).items == ()
 
 
@@ -158,6 +158,27 @@
     return item._replace(record=item.record._replace(routes=many))
 
 
+class TestSlowRead:
+    """A complete read that began before a peer's update arrived takes nothing of it back."""
+
+    @pytest.mark.parametrize(
+        "change",
+        [StoreItem(Subject.WITHDRAWAL, "north", 6, True, None), endpoint(4, 6)],
+        ids=["withdrawal", "new upstream"],
+    )
+    def test_what_a_peer_has_sent_meanwhile_stays(self, change):
+        node = agent(1, rank=1)
+        update = StoreUpdate(2, 5, 6, (change,))
+        node.reduce(PeerMessageArrived(NOW, BALANCER, 1, update))
+        node.reduce(StoreRead(NOW, FIRST, 5))
+        assert change.name in (*node.view.withdrawn, *node.view.endpoints)
+
+    def test_what_was_removed_before_it_is_removed(self):
+        node = agent(1, rank=1)
+        node.reduce(StoreRead(NOW, FIRST[:-1], 9))
+        assert "i-3" not in node.view.endpoints
+
+
 class TestLostUpdate:
     """A reader that has a change from another reader sends it all the same: others may lack it."""
 
@@ -173,7 +194,7 @@
     def test_a_change_is_not_missed_for_good(self, change):
         first, second, listener = (StoreView(PORT) for _ in range(3))
         for view in (first, second, listener):
-            view.replace(FIRST, NOW)
+            view.replace(FIRST, 5, NOW)
             view.note_complete(5)
         lost = make_store_update(first, 1, 5, 6, (change,))
         second.apply(lost.items, NOW)
