A reload signal during the start does not end a process

Cause: until the daemon has installed its handlers the signal's default action holds, for about 0.2 s after each start. Change: the entry point ignores the signal at once, and the daemon reads its settings once more when it can reload. The signal still ends a process whose interpreter has not reached the entry point; nothing here can change that. The CoAP daemons take no SIGHUP.

--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -184,6 +184,7 @@
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
+        self.reload_if_changed()
         await self.stopped.wait()
         self.close()
         return 0
@@ -223,6 +224,11 @@
         self.log.write("reload", changed=changed)
         self.apply_settings(settings)
 
+    def reload_if_changed(self) -> None:
+        """Reload the settings if they differ from those in use, as after a signal during start."""
+        if self.file.read()[0] != self.settings:
+            self.reload()
+
     def check_settings(self) -> None:
         """Reload the settings if their file has changed."""
         if self.file.has_changed(self.clock()):
--- a/src/heatheryoke/daemons/stream_role.py
+++ b/src/heatheryoke/daemons/stream_role.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -20,6 +21,8 @@
     The settings file is the second argument, by default the one that the platform names in the
     environment.
     """
+    # A reload request that comes before the daemon can reload must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.modules.setdefault("ssl", None)  # asyncio then skips its TLS support, which is unused here
     from heatheryoke.daemons.stream_roles import STREAM_APPLICATIONS, run_role
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 
 SHORT_S = 20.0
 # Seeds of soaks that violated a rule before the cause was fixed.
-REGRESSIONS: tuple[int, ...] = ()
+REGRESSIONS: tuple[int, ...] = (102, 105)
 
 
 class TestSoak:
