--- a/src/heatheryoke/cli.py
+++ b/src/heatheryoke/cli.py
@@ -305,20 +305,29 @@
 def soak(
     seed: Annotated[int, typer.Option(help="The random seed that determines the faults.")] = 1,
     minutes: Annotated[float, typer.Option(help="How long faults are injected.")] = 1.0,
+    processes: Annotated[
+        int, typer.Option(min=8, max=240, help="How many balancers and agents run.")
+    ] = 11,
+    logs: Annotated[
+        Path | None, typer.Option(help="The folder for the processes' logs if a check fails.")
+    ] = None,
 ) -> None:
     """Run byte-stream daemons as processes under injected faults. Failed checks are reported.
 
-    Example: heatheryoke soak --seed 7 --minutes 2
+    Example: heatheryoke soak --seed 7 --minutes 2 --processes 40
     """
-    from heatheryoke.standins.soak import run_soak
+    from heatheryoke.standins.soak import run_soak, write_logs
+    from heatheryoke.standins.stream_site import SiteSize
 
-    result = run_soak(seed, 60 * minutes)
+    result = run_soak(seed, 60 * minutes, SiteSize.of(processes))
     table = Table("outcome or fault", "count", title=f"soak with seed {seed}")
     for name, count in sorted((result.outcomes + result.injected_faults).items()):
         table.add_row(name, str(count))
     console.print(table)
     for problem in result.violations:
         console.print(f"BROKEN {problem}", markup=False, highlight=False)
+    if result.violations and logs is not None:
+        console.print(f"{write_logs(result, seed, logs)}")
     raise typer.Exit(EXIT_FAILED if result.violations else 0)
 
 
--- a/src/heatheryoke/core/catch_up.py
+++ b/src/heatheryoke/core/catch_up.py
@@ -33,6 +33,8 @@
 
     def on_peer_epoch(self, epoch: int, source: Address, now: float) -> bool:
         """Record a peer's version, newer than the one here; return whether it is the newest."""
+        if epoch == self.newest_epoch:
+            self.source = source
         if epoch <= self.newest_epoch:
             return False
         self.newest_epoch, self.source = epoch, source
--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -59,15 +59,18 @@
             return service
         return None
 
-    def drop_outdated(self, message: Forward) -> list[Effect]:
-        """Drop a new flow; its caller's next copy finds the balancer at the newer configuration."""
-        facts = (("reason", "outdated service"), ("service_by", message.service_epoch))
+    def drop_contradicted(self, message: Forward) -> list[Effect]:
+        """Drop a new flow; by its caller's next copy the process that is behind has caught up."""
+        facts = (
+            ("reason", "configurations contradict each other"),
+            ("service_by", message.service_epoch),
+        )
         return [
-            Count("openings_outdated"),
+            Count("openings_contradicted"),
             LogFlow(message.flow, "dropped", (*facts, *self.decision_facts(self.last_event))),
         ]
 
-    def refuse_outdated(self) -> list[Effect]:
+    def refuse_contradicted(self) -> list[Effect]:
         """Refuse the waiting flows that the configuration in force contradicts."""
         effects: list[Effect] = []
         for message in [entry.packet for entry in self.queue.waiting.values()]:
@@ -184,7 +187,7 @@
         effects = [Count("openings_returned"), *self.give_up(owned, now)]
         service = self.agreed_service(message)
         if service is None:
-            return effects + self.drop_outdated(message)
+            return effects + self.drop_contradicted(message)
         facts = (
             ("service", owned.service),
             ("busy", len(self.in_progress)),
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -63,7 +63,7 @@
         message = event.message._replace(service_epoch=event.epoch)
         service = self.agreed_service(message)
         if service is None:
-            return self.drop_outdated(message)
+            return self.drop_contradicted(message)
         passed_on = message.hops < HOP_LIMIT
         message = message._replace(place_here=passed_on)
         if self.host_name not in self.topology.hosts:
@@ -82,7 +82,7 @@
             return [Count("openings_repeated")]
         service = self.agreed_service(message)
         if service is None:
-            return self.drop_outdated(message)
+            return self.drop_contradicted(message)
         message = message._replace(assigned=False, place_here=True)
         if self.host_name not in self.topology.hosts:
             return self.pass_on_outside_view(message, service, now)
@@ -127,7 +127,7 @@
 
     def on_topology(self, now: float) -> list[Effect]:
         """Register flows whose homes have changed; at the first view, ask peers for their flows."""
-        refusals = self.refuse_outdated()
+        refusals = self.refuse_contradicted()
         for owned in self.flows.flows.values():
             homes = tuple(home.name for home in self.topology.homes(owned.flow))
             if homes != owned.homes:
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import json
 import random
 from collections import Counter
 from collections.abc import Callable
 from math import inf
+from pathlib import Path
 from typing import NamedTuple
 
 from heatheryoke.core.flows import FlowKey
@@ -19,7 +21,7 @@
 from heatheryoke.standins.stream_caller import Outcome, StreamCaller, StreamFlow
 from heatheryoke.standins.stream_site import CHANGE_WITHIN_S, FEEDS, SHEETS, SMALL_SITE, SiteSize
 
-__all__ = ["Soak", "SoakResult", "run_soak"]
+__all__ = ["Soak", "SoakResult", "run_soak", "write_logs"]
 
 FEED_CALLERS = 12
 LOYAL_CALLERS = 6
@@ -238,3 +240,12 @@
 def run_soak(seed: int, seconds: float, size: SiteSize = SMALL_SITE) -> SoakResult:
     """Run one soak; a seed fixes the choice of faults, but not their exact timing."""
     return asyncio.run(Soak(seed, size).run(seconds))
+
+
+def write_logs(result: SoakResult, seed: int, folder: Path) -> Path:
+    """Write the violations and logs of a soak to a file in a folder, and return its path."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"soak-{seed}.json"
+    content = {"seed": seed, "violations": result.violations, "logs": result.logs}
+    path.write_text(json.dumps(content, indent=1), encoding="utf-8")
+    return path
--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -55,6 +55,13 @@
     feed_agents: int
     sheet_agents: int
 
+    @classmethod
+    def of(cls, processes: int) -> "SiteSize":
+        """Return a size of so many processes in all, a quarter of them balancers."""
+        balancers = max(3, processes // 4)
+        sheet_agents = max(2, (processes - balancers) // 3)
+        return cls(balancers, processes - balancers - sheet_agents, sheet_agents)
+
 
 SMALL_SITE = SiteSize(3, 5, 3)
 
