--- /dev/null
+++ b/src/heatheryoke/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, a module for each group."""
