--- a/src/heatheryoke/standins/route_checker.py
+++ b/src/heatheryoke/standins/route_checker.py
@@ -25,7 +25,7 @@
 RECENT_S = 6.0
 CHECK_INTERVAL_S = (0.03, 0.3)
 CHECK_TIMEOUT_S = 2.5
-# Balancers checked at a time, so that the checks stay a small part of the load.
+# Balancers that an address is checked at, so that the checks stay a small part of the load.
 BALANCERS_PER_CHECK = 4
 # Requests on a flow that stays open, and the pauses between them.
 REQUESTS_PER_FLOW = (1, 6)
@@ -197,6 +197,8 @@
     def violations(self) -> list[str]:
         """Return everything that the configurations published do not explain."""
         history = self.site.history
+        self.outcomes["check judged in time"] = len(self.judged_in_time)
+        self.outcomes["configuration published"] = len(history.published)
         return [
             *(f"not in force in time: {row}" for row in history.late(self.judged_in_time)),
             *history.steps_back(self.handled),
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -34,6 +34,8 @@
 RECOVERY_S = 12.0
 # Pauses between the beginnings of two faults.
 FAULT_GAPS_S = (0.1, 0.1, 0.5, 1.0, 3.0, CONTACT_S + 6.0)
+# Hosts for each series of faults; larger sites have several series at the same time.
+HOSTS_PER_SERIES = 20
 
 
 class SoakResult(NamedTuple):
@@ -199,7 +201,8 @@
             await self.site.start()
             self.calm_since = self.now()
             callers = await self.start_callers()
-            await self.inject_faults(seconds)
+            series = max(1, len(self.site.hosts) // HOSTS_PER_SERIES)
+            await asyncio.gather(*(self.inject_faults(seconds) for _ in range(series)))
             await asyncio.sleep(RECOVERY_S)
             await self.expect_service()
             self.is_over = True
