--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -90,7 +90,7 @@
 
     def test_that_arrive_late_change_nothing(self):
         agent = make_agent()
-        late = ConfigurationReply(configuration(5, 105))
+        late = ConfigurationReply(configuration(5, 205))
         change_configuration(agent, 9, feed="live")
         agent.reduce(PeerMessageArrived(NOW, PEER, 5, late))
         assert agent.epoch == 9
