--- a/src/heatheryoke/standins/route_checker.py
+++ b/src/heatheryoke/standins/route_checker.py
@@ -18,12 +18,15 @@
 # Addresses of the routes that are added and removed; no address is used twice.
 EXTRA_IP = "198.18.0.2"
 FIRST_PORT = 2_000
+# Routes at the same time, beside the two that carry traffic; a small site of the users has 13.
 MAXIMUM_ROUTES = 12
 # Pauses between two changes of an operator who makes them all day.
 CHANGE_INTERVAL_S = (0.1, 3.0)
-# How long after a change its addresses are checked.
+# How long after a change its addresses are checked: twice the time within which it is in force.
 RECENT_S = 6.0
+# Pauses between checks: several within the slack of a step back (0.25 s).
 CHECK_INTERVAL_S = (0.03, 0.3)
+# Longer than a caller waits for its flow to open (1.4 s).
 CHECK_TIMEOUT_S = 2.5
 # Balancers that an address is checked at, so that the checks stay a small part of the load.
 BALANCERS_PER_CHECK = 4
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -24,6 +24,7 @@
 __all__ = ["Soak", "SoakResult", "run_soak", "write_logs"]
 
 FEED_CALLERS = 12
+# Callers that send all packets of a flow to one balancer until its process is gone.
 LOYAL_CALLERS = 6
 SHEET_CALLERS = 6
 REQUEST_INTERVAL_S = 0.25
