Soak: end every process that it started, also when a fault fails

An error in one series of faults closed the site while the other series went on and started processes that nobody ended; a soak that was ended by SIGTERM ended none of its processes. Ruled out by reading: two starts of one host at a time (hosts are reserved), kills that time out (recorded as violations). Change: series run in a task group, SIGTERM cancels the soak, the site ends every process that it started, and one without a host is a violation.

--- a/src/heatheryoke/standins/process_site.py
+++ b/src/heatheryoke/standins/process_site.py
@@ -30,11 +30,13 @@
         self.folder = tempfile.TemporaryDirectory()
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.running: dict[str, asyncio.subprocess.Process] = {}
+        self.all_processes: list[tuple[str, asyncio.subprocess.Process]] = []
         self.started: set[str] = set()
         self.readers: dict[str, asyncio.Task[None]] = {}
         self.logs: dict[str, deque[str]] = {}
         self.faults: list[str] = []
         self.unexpected_exits: list[str] = []
+        self.leftovers: list[str] = []
 
     def write_settings(self, host: StreamHost) -> Path:
         """Write the settings file of a host's process and return its path."""
@@ -56,6 +58,7 @@
         )
         self.started.discard(host.name)
         self.processes[host.name] = self.running[host.name] = process
+        self.all_processes.append((host.name, process))
         self.incarnations[host.name] += 1
         self.logs.setdefault(host.name, deque(maxlen=KEPT_LINES))
         reader = asyncio.get_running_loop().create_task(self.read_log(host.name, process))
@@ -115,9 +118,18 @@
         await self.end(name, signal.SIGKILL)
 
     async def close(self) -> None:
-        """Kill the processes and close the stand-ins."""
+        """Kill every process that was started here and close the stand-ins."""
+        self.end_leftovers()
         for name in list(self.processes):
             await self.kill_process(name)
         await asyncio.gather(*self.readers.values(), return_exceptions=True)
         await super().close()
         self.folder.cleanup()
+
+    def end_leftovers(self) -> None:
+        """Kill and record the processes that run although no host of the site has them."""
+        for name, process in self.all_processes:
+            if process.returncode is None and self.processes.get(name) is not process:
+                self.leftovers.append(f"{name}: process {process.pid} was left running")
+                with suppress(ProcessLookupError):
+                    process.kill()
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import random
+import signal
 from collections import Counter
 from collections.abc import Callable
 from math import inf
@@ -178,11 +179,20 @@
     async def inject_faults(self, seconds: float) -> None:
         """Inject faults for a time, in series and overlapping."""
         ends = self.now() + seconds
-        running: set[asyncio.Task[None]] = set()
-        while self.now() < ends:
-            running.add(asyncio.get_running_loop().create_task(self.inject_fault()))
-            await asyncio.sleep(self.random.choice(FAULT_GAPS_S))
-        await asyncio.gather(*running)
+        async with asyncio.TaskGroup() as running:
+            while self.now() < ends:
+                running.create_task(self.inject_fault())
+                await asyncio.sleep(self.random.choice(FAULT_GAPS_S))
+
+    async def inject_series(self, seconds: float) -> None:
+        """Inject a series of faults for every `HOSTS_PER_SERIES` hosts.
+
+        An error in one series cancels the others, so that none starts processes after the site has
+        been closed.
+        """
+        async with asyncio.TaskGroup() as running:
+            for _ in range(max(1, len(self.site.hosts) // HOSTS_PER_SERIES)):
+                running.create_task(self.inject_faults(seconds))
 
     async def expect_no_new_flows(self, where: str, opened: Callable[[], int]) -> None:
         """Record new flows that arrive after `CHANGE_WITHIN_S`, if the system stayed calm."""
@@ -196,14 +206,18 @@
     # Run
 
     async def run(self, seconds: float) -> SoakResult:
-        """Start the deployment, inject faults, let it recover, and return the result."""
+        """Start the deployment, inject faults, let it recover, and return the result.
+
+        SIGTERM cancels the soak, so that it ends its processes first.
+        """
         self.began = self.now()
+        cancel = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, cancel)
         try:
             await self.site.start()
             self.calm_since = self.now()
             callers = await self.start_callers()
-            series = max(1, len(self.site.hosts) // HOSTS_PER_SERIES)
-            await asyncio.gather(*(self.inject_faults(seconds) for _ in range(series)))
+            await self.inject_series(seconds)
             await asyncio.sleep(RECOVERY_S)
             await self.expect_service()
             self.is_over = True
@@ -212,6 +226,7 @@
             self.violations += self.checker.violations()
         finally:
             await self.site.close()
+        self.violations += self.site.leftovers
         logs = {name: list(lines) for name, lines in self.site.logs.items()}
         return SoakResult(
             self.outcomes + self.checker.outcomes,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from heatheryoke.standins import soak as soak_module
 from heatheryoke.standins.soak import Soak, run_soak
+from heatheryoke.standins.soak_faults import Fault
 from heatheryoke.standins.stream_caller import Outcome
 
 SHORT_S = 20.0
@@ -22,6 +23,57 @@
         assert sum(result.injected_faults.values()) > 3
 
 
+class TestProcesses:
+    """Guards against daemons that go on running after the soak has ended."""
+
+    @staticmethod
+    async def start_late(target):
+        """Start a process of a host while the site is being closed after another fault's error."""
+        await asyncio.sleep(0.2)
+        for host in list(target.site.hosts.values()):
+            await target.site.start_process(host)
+            await asyncio.sleep(0.05)
+
+    @staticmethod
+    async def fail(target):
+        """Raise as a fault does whose process cannot be started."""
+        await asyncio.sleep(0.1)
+        raise OSError("too many open files")
+
+    def running(self, site):
+        return [name for name, process in site.all_processes if process.returncode is None]
+
+    def test_no_process_outlives_a_soak_that_ends_by_an_error(self, monkeypatch):
+        kinds = iter([self.start_late, self.fail])
+        monkeypatch.setattr(
+            soak_module, "FAULTS", {"kind": Fault(True, lambda target: next(kinds)(target))}
+        )
+        monkeypatch.setattr(soak_module, "HOSTS_PER_SERIES", 5)
+        monkeypatch.setattr(soak_module, "FAULT_GAPS_S", (5.0,))
+
+        async def play():
+            soak = Soak(1)
+            with pytest.raises(ExceptionGroup):
+                await soak.run(4.0)
+            await asyncio.sleep(0.5)
+            return self.running(soak.site)
+
+        assert asyncio.run(play()) == []
+
+    def test_a_process_without_a_host_is_killed_and_reported(self):
+        async def play():
+            soak = Soak(1)
+            host = soak.site.hosts["balancer-1"]
+            await soak.site.start_process(host)
+            await soak.site.start_process(host)
+            await soak.site.close()
+            return self.running(soak.site), soak.site.leftovers
+
+        running, leftovers = asyncio.run(play())
+        assert running == []
+        assert len(leftovers) == 1
+
+
 class FakeUpstream:
     """Upstream with one connection."""
 
