--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -127,6 +127,7 @@
 
     def on_topology(self, now: float) -> list[Effect]:
         """Register flows whose homes have changed; at the first view, ask peers for their flows."""
+        self.forget_removed_hosts(now)
         refusals = self.refuse_contradicted()
         for owned in self.flows.flows.values():
             homes = tuple(home.name for home in self.topology.homes(owned.flow))
--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -137,6 +137,20 @@
         names = [name for name in self.restarted_hosts if name not in self.topology.hosts]
         return [name for name in names if short_id(name) not in asked_ids]
 
+    def forget_removed_hosts(self, now: float) -> None:
+        """Forget restarted hosts whose upstream is gone, so that no search ends at them.
+
+        Load pattern: all hosts lose power, then some upstreams that were draining leave. Their
+        agents asked for flows when they restarted, and are gone as well by the time when callers
+        with idle flows send their next request.
+        """
+        previous = self.previous_topology.hosts if self.previous_topology else {}
+        self.restarted_hosts = {
+            name: address
+            for name, address in self.restarted_hosts.items()
+            if name in self.topology.hosts or name not in previous
+        }
+
     def offer(self, message: Forward) -> list[Effect]:
         """Deliver a packet of an unknown flow; the upstream returns it if it lacks the flow."""
         self.offered[message.flow] = message
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -396,6 +396,19 @@
         agent.reduce(PeerMessageArrived(NOW, BALANCER, 3, RecoveryRequest("10.1.0.9", 1, 0)))
         assert not of_kind(self.ask_last_host(agent, NOW + 0.5, uptime_s=1.0), AnswerCaller)
 
+    def test_a_search_does_not_end_at_a_host_whose_upstream_has_left(self):
+        """Guards against callers that wait for their deadline since a search ends at a host that
+        had restarted, and was removed from the view afterwards.
+        """
+        agent = make_agent(items=(*ITEMS, endpoint(9, is_draining=True)))
+        peer = Address("10.1.0.9", PORT)
+        agent.reduce(PeerMessageArrived(NOW, peer, 3, RecoveryRequest("10.1.0.9", 1, 0)))
+        gone = endpoint(9)._replace(revision=96, present=False, record=None)
+        agent.reduce(StoreChanged(NOW + 0.4, (gone,)))
+        effects = self.ask_last_host(agent, NOW + 0.5, uptime_s=1.0)
+        assert not of_kind(effects, SendForward)
+        assert of_kind(effects, AnswerCaller)
+
     def test_host_outside_the_view_is_asked_last_and_ends_the_search(self):
         agent, peer = make_agent(), Address("10.1.0.9", PORT)
         agent.reduce(PeerMessageArrived(NOW, peer, 3, RecoveryRequest("10.1.0.9", 1, 0)))
