Judge the condition of an upstream by what passes its agent

Cause: nothing judged an upstream. One that resets its requests looked the least loaded and drew new flows, one that fell silent (a crash that the store shows 3.6 s later) accepted nothing and never looked busy. Change: where the settings list the contract 'health', each agent judges its upstream by a sequential likelihood-ratio test of resets, closes, flows that are not accepted and requests without an answer; states good, suspected, set aside, on trial. The verdict raises the load in visits, so that a flow goes there only if all visited upstreams are set aside. A flow that is not accepted within 0.1 s is placed elsewhere. Off elsewhere: served as before.

--- a/src/heatheryoke/core/placement.py
+++ b/src/heatheryoke/core/placement.py
@@ -5,6 +5,7 @@
 from math import inf
 
 from heatheryoke.core.messages import Visit
+from heatheryoke.core.upstream_condition import IMPAIRED_LOAD
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Host
 
@@ -12,6 +13,8 @@
 __all__ += ["Placement", "SeenLoads"]
 
 MAXIMUM_VISITS = 3
+# Visits beyond the maximum while all visited hosts have an impaired upstream.
+MORE_VISITS = 2
 
 
 class Placement(ABC):
@@ -37,9 +40,14 @@
         self.maximum = maximum
 
     def next_candidate(self, candidates: list[Host], visited: tuple[Visit, ...]) -> Host | None:
-        """Return the next host by rank; beyond the maximum only while no visited host has room."""
+        """Return the next host by rank; beyond the maximum only while no visited host has room.
+
+        While all of those have an impaired upstream, `MORE_VISITS` others are visited.
+        """
         if len(visited) >= self.maximum and self.choose(candidates, visited) is not None:
-            return None
+            is_impaired = min(visit.load for visit in visited) >= IMPAIRED_LOAD
+            if not is_impaired or len(visited) >= self.maximum + MORE_VISITS:
+                return None
         seen = {visit.host_id for visit in visited}
         return next((host for host in candidates if name_hash(host.name) not in seen), None)
 
--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -4,13 +4,15 @@
 from typing import Any
 
 from heatheryoke.core.cold_start import OpeningBudget
-from heatheryoke.core.effects import AnswerCaller, Count, Effect, LogFlow
+from heatheryoke.core.effects import AnswerCaller, Count, Effect, LogChange, LogFlow
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.forwarder import NO_ADDRESS
 from heatheryoke.core.messages import HOP_LIMIT, Forward, Visit
 from heatheryoke.core.opening_queue import OpeningQueue, Waiting
 from heatheryoke.core.stream_owner import StreamOwner
 from heatheryoke.core.streams import OwnedStream
+from heatheryoke.core.upstream_condition import IMPAIRED_LOAD, Condition, ConditionChange
+from heatheryoke.core.upstream_monitor import Finding
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Endpoint, Host, HostState, Service
 
@@ -41,13 +43,71 @@
         if message.flow in self.queue:
             return [Count("openings_repeated")]
         opens_feed = self.opens_feed(message, service)
-        if self.load(service.name, opens_feed, now) == inf:
-            return self.place_elsewhere(message, service, now)
+        load = self.load(service.name, opens_feed, now)
+        if load == inf or (load >= IMPAIRED_LOAD and not self.was_chosen_impaired(message)):
+            return self.place_elsewhere(message, service, now, load)
         self.expire_openings(now)
         if not self.has_room():
             return self.queue_flow(message, now)
         return self.start_flow(message, service, now)
 
+    def was_chosen_impaired(self, message: Forward) -> bool:
+        """Return whether this host was chosen although its upstream was set aside."""
+        return any(
+            visit.host_id == self.own_id and visit.load >= IMPAIRED_LOAD
+            for visit in message.visited
+        )
+
+    def apply_finding(self, finding: Finding, now: float) -> list[Effect]:
+        """Log transitions of the upstream's condition; place flows elsewhere that it left."""
+        effects: list[Effect] = []
+        for change in finding.changes:
+            effects += self.log_condition(change, now)
+        if any(change.current is Condition.SET_ASIDE for change in finding.changes):
+            service = self.topology.services.get(self.service)
+            for entry in self.queue.clear():
+                effects += self.place_elsewhere(entry.packet, service, now, IMPAIRED_LOAD)
+        for message in finding.unaccepted:
+            effects += self.place_unaccepted(message, now)
+        return effects
+
+    def log_condition(self, change: ConditionChange, now: float) -> list[Effect]:
+        """Return the count and the log entry of a transition, with its evidence."""
+        reason = change.evidence.value
+        if change.current is Condition.SET_ASIDE:
+            reason = f"{reason}, for {change.aside_until - now:.1f} s"
+        return [
+            Count(f"upstream_{change.current.name.lower()}"),
+            LogChange("upstream", f"{change.former.value} -> {change.current.value}", reason),
+        ]
+
+    def place_unaccepted(self, message: Forward, now: float) -> list[Effect]:
+        """Place a new flow elsewhere that the upstream has not accepted in time.
+
+        The upstream may still accept it. Then the caller follows one of two acceptances, and the
+        other owner gives the flow up.
+        """
+        owned = self.flows.flows.get(message.flow)
+        if owned is None or owned.accepted is not None or owned.answered:
+            return []
+        effects = [Count("openings_unaccepted"), *self.give_up(owned, now)]
+        service = self.agreed_service(message)
+        if service is None:
+            return effects + self.drop_contradicted(message)
+        facts = (("service", owned.service), *self.decision_facts(now))
+        effects.append(LogFlow(message.flow, "not accepted", facts))
+        outgoing = message._replace(hops=HOP_LIMIT)
+        return effects + self.place_elsewhere(outgoing, service, now)
+
+    def check_upstream(self, now: float) -> list[Effect]:
+        """Judge what the upstream has not done in time."""
+        endpoint = self.endpoint_of(self.service)
+        if endpoint is None:
+            return []
+        requests = list(self.in_progress.values())
+        finding = self.monitor.check(requests, self.service_s(), endpoint.slots, now)
+        return self.apply_finding(finding, now)
+
     def agreed_service(self, message: Forward) -> Service | None:
         """Return the service of a new flow, None if a newer configuration here contradicts it.
 
@@ -138,6 +198,7 @@
         self.adopt(owned, now)
         self.schedule_removal(owned, now)
         self.budget.spend(now)
+        self.monitor.on_started(message, now)
         self.start_request(owned, now)
         facts = (
             ("service", service.name),
@@ -157,13 +218,16 @@
         ]
 
     def place_elsewhere(
-        self, message: Forward, service: Service | None, now: float
+        self, message: Forward, service: Service | None, now: float, load: float = inf
     ) -> list[Effect]:
-        """Pass a new flow that this host does not admit to another candidate, or refuse it."""
+        """Pass a new flow that this host does not admit to another candidate, or refuse it.
+
+        If `load` is finite, it may come back when no other candidate is better.
+        """
         if service is None:
             return self.refuse_flow(message, service, "unknown service")
         earlier_visits = tuple(visit for visit in message.visited if visit.host_id != self.own_id)
-        visited = (*earlier_visits, Visit(self.own_id, inf))
+        visited = (*earlier_visits, Visit(self.own_id, load))
         outgoing = message._replace(assigned=False, visited=visited)
         candidates = self.usable_candidates(message.flow, service)
         return self.continue_placement(outgoing, service, candidates, now)
@@ -225,9 +289,10 @@
         if not self.has_room() and not self.queue.can_add(now, self.service_s(), slots):
             return inf
         busy = len(self.in_progress) + len(self.queue) + self.pending_offers.count(now)
+        penalty = self.monitor.load_penalty()
         if opens_feed:
-            return (self.feed_count + REQUEST_WEIGHT * busy) / slots
-        return (busy + FEED_WEIGHT * self.feed_count) / slots
+            return (self.feed_count + REQUEST_WEIGHT * busy) / slots + penalty
+        return (busy + FEED_WEIGHT * self.feed_count) / slots + penalty
 
     def cold_rate(self, now: float) -> float | None:
         """Return the limit on new flows per second of a cold upstream, None without a limit."""
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -128,7 +128,7 @@
     def on_topology(self, now: float) -> list[Effect]:
         """Register flows whose homes have changed; at the first view, ask peers for their flows."""
         self.forget_removed_hosts(now)
-        refusals = self.refuse_contradicted()
+        refusals = self.refuse_contradicted() + self.note_incarnation(now)
         for owned in self.flows.flows.values():
             homes = tuple(home.name for home in self.topology.homes(owned.flow))
             if homes != owned.homes:
@@ -141,6 +141,14 @@
         peers = [host.address for host in hosts if host.name != self.host_name]
         return [*refusals, *(SendPeer(address, request) for address in peers)]
 
+    def note_incarnation(self, now: float) -> list[Effect]:
+        """Have the upstream judged anew if the store lists another incarnation at its address."""
+        newest = self.view.newest_by_address().get(self.upstream)
+        if newest is None:
+            return []
+        name, record = newest
+        return self.apply_finding(self.monitor.on_incarnation((name, record.born_ms), now), now)
+
     def on_pause_ended(self, now: float) -> list[Effect]:
         """Register every flow again, since another owner may have registered during the pause."""
         if self.topology is not None:
@@ -152,6 +160,7 @@
         """Do periodic work: probes, expiry, the queue of new flows, and registrations."""
         effects = self.probe(now) + self.remove_due(now)
         self.expire_openings(now)
+        effects += self.check_upstream(now)
         effects += self.serve_queue(now)
         effects += self.expire_flows(now)
         self.directory.expire(now, EXPIRY_BATCH)
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -20,6 +20,7 @@
 from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.core.service_times import ServiceTimes
 from heatheryoke.core.streams import OwnedStream, StreamCodec, StreamHeader
+from heatheryoke.core.upstream_monitor import Finding, Unmonitored, UpstreamMonitor
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address, Endpoint
 
@@ -46,6 +47,7 @@
         service: str,
         upstream: Address,
         flow_lifetime_s: float = 60.0,
+        monitor: UpstreamMonitor | None = None,
         **options: Any,
     ):
         super().__init__(host_name, incarnation, started, **options)
@@ -55,6 +57,7 @@
         self.own_id = name_hash(host_name)
         self.started = started
         self.flow_lifetime_s = flow_lifetime_s
+        self.monitor = monitor or Unmonitored()
         self.feed_count = 0
         self.in_progress: dict[FlowKey, OwnedStream] = {}
         self.service_times = ServiceTimes()
@@ -71,6 +74,10 @@
     def on_returned(self, event: UpstreamPacket, head: StreamHeader) -> list[Effect]:
         """Forward a packet elsewhere that the upstream returned, or reset its flow."""
 
+    @abstractmethod
+    def apply_finding(self, finding: Finding, now: float) -> list[Effect]:
+        """Act on what was observed of the upstream."""
+
     @abstractmethod
     def serve_queue(self, now: float) -> list[Effect]:
         """Start waiting flows as far as there is room."""
@@ -99,6 +106,7 @@
         if owned is None:
             owned = self.adopt_unknown(event, head)
         self.flows.touch(owned, event.now)
+        effects += self.apply_finding(self.monitor.on_packet(owned, head, event.now), event.now)
         if head.accepts:
             effects += self.on_accepted(owned, head, event.now)
         elif head.length and owned.has_request:
@@ -137,6 +145,8 @@
             self.in_progress[owned.flow] = owned
         endpoint = self.topology.endpoints.get((self.service, self.host_name))
         owned.waiting_since = now
+        owned.requests_before = len(self.in_progress) - 1
+        owned.is_overdue = False
         owned.had_free_slot = endpoint is not None and len(self.in_progress) <= endpoint.slots
 
     def end_request(self, owned: OwnedStream) -> None:
@@ -197,6 +207,7 @@
 
     def end_closed_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
         """Drop the request in progress and the scheduled removal of a flow that is over."""
+        self.monitor.on_ended(owned.flow)
         self.end_request(owned)
         self.scheduled_removals.pop(owned.flow, None)
         self.feed_count -= owned.feed
--- a/src/heatheryoke/core/streams.py
+++ b/src/heatheryoke/core/streams.py
@@ -62,8 +62,9 @@
 
     `accepted` is the sequence number of the upstream's first packet, None while unknown.
     `has_request` is set while a request is in progress. It arrived at `waiting_since`;
-    `had_free_slot` is set if the upstream had a free slot for it. `service_epoch` is the version of
-    the configuration that the service was selected by, 0 if unknown.
+    `had_free_slot` is set if the upstream had a free slot for it, `requests_before` is the number
+    of others in progress then, and `is_overdue` is set once it counts as failed. `service_epoch` is
+    the version of the configuration that the service was selected by, 0 if unknown.
     """
 
     __slots__ = (
@@ -73,7 +74,9 @@
         "had_free_slot",
         "has_request",
         "is_over",
+        "is_overdue",
         "removal_due",
+        "requests_before",
         "service_epoch",
         "upstream_closed",
         "via",
@@ -87,6 +90,8 @@
         self.waiting_since = now
         self.has_request = False
         self.had_free_slot = False
+        self.requests_before = 0
+        self.is_overdue = False
         self.feed = False
         self.caller_closed = False
         self.upstream_closed = False
--- a/src/heatheryoke/daemons/stream_roles.py
+++ b/src/heatheryoke/daemons/stream_roles.py
@@ -10,6 +10,7 @@
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.stream_agent import StreamAgent
 from heatheryoke.core.stream_balancer import StreamBalancer
+from heatheryoke.core.upstream_monitor import TrafficMonitor, Unmonitored
 from heatheryoke.daemons.json_log import JsonLog
 from heatheryoke.daemons.stream_application import StreamApplication
 from heatheryoke.daemons.stream_settings import StreamSettings, read_stream_settings
@@ -74,6 +75,7 @@
             settings.upstream,
             first_start=settings.first_start,
             flow_lifetime_s=settings.flow_lifetime_s,
+            monitor=TrafficMonitor() if settings.judges_upstream else Unmonitored(),
             failure_domain=settings.failure_domain,
             peer_port=self.peer_address.port,
         )
--- a/src/heatheryoke/daemons/stream_settings.py
+++ b/src/heatheryoke/daemons/stream_settings.py
@@ -16,6 +16,7 @@
     parse_seconds,
 )
 from heatheryoke.inventory.model import Address, Role
+from heatheryoke.platform.process import requires_judgement
 
 __all__ = ["STREAM_SETTINGS", "StreamSetting", "StreamSettings", "read_stream_settings"]
 
@@ -40,6 +41,7 @@
     upstream: Address | None
     service: str | None
     flow_lifetime_s: float | None
+    judges_upstream: bool | None = False
 
 
 class StreamSetting(NamedTuple):
@@ -155,6 +157,15 @@
         AGENT_ONLY,
         "The longest time that a flow keeps its upstream (s).",
     ),
+    StreamSetting(
+        "judges_upstream",
+        "upstream",
+        "contracts",
+        requires_judgement,
+        AGENT_ONLY,
+        "The parts of the platform's rules in force, separated by commas; `health` makes the agent"
+        " judge its upstream by its answers. Optional.",
+    ),
 )
 
 
--- a/src/heatheryoke/measure/stream_scenarios.py
+++ b/src/heatheryoke/measure/stream_scenarios.py
@@ -1,15 +1,23 @@
-"""Scenarios of byte streams: failure domains that cannot reach each other, and hosts that stop."""
+"""Scenarios of byte streams: failure domains that are cut off, hosts that stop, sick upstreams."""
 
 from collections.abc import Callable
 from math import inf
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from heatheryoke.core.stream_agent import StreamAgent
 from heatheryoke.core.stream_balancer import StreamBalancer
+from heatheryoke.core.upstream_monitor import TrafficMonitor
 from heatheryoke.measure.stream_baseline import RendezvousAgent, RendezvousBalancer
-from heatheryoke.measure.stream_world import Roles, StreamSite, StreamWorld
+from heatheryoke.measure.stream_world import (
+    NO_FAULT,
+    Roles,
+    StreamSite,
+    StreamWorld,
+    UpstreamFault,
+)
 
-__all__ = ["STREAM_POLICIES", "STREAM_SCENARIOS", "StreamFigures", "run_stream_scenario"]
+__all__ = ["CUT_SCENARIOS", "SICK_UPSTREAM_SCENARIOS", "STREAM_POLICIES", "STREAM_SCENARIOS"]
+__all__ += ["StreamFigures", "run_stream_scenario"]
 
 # Times of the fault and of its end, and of the last request; before the fault is the warm-up.
 FAULT_AT_S = 5.0
@@ -18,9 +26,18 @@
 END_S = 18.0
 # Time within which a fault is found, and the bound that the figures are split at.
 FOUND_WITHIN_S = 0.6
+# Time that flapping upstreams are silent, and the time until they are again.
+FLAP_S = 1.0
+
+
+def _judging_agent(*arguments: Any, **options: Any) -> StreamAgent:
+    """Return an agent that judges its upstream."""
+    return StreamAgent(*arguments, monitor=TrafficMonitor(), **options)
+
 
 STREAM_POLICIES = {
-    "heatheryoke": Roles(StreamBalancer, StreamAgent),
+    "heatheryoke": Roles(StreamBalancer, _judging_agent),
+    "unjudged": Roles(StreamBalancer, StreamAgent),
     "rendezvous": Roles(RendezvousBalancer, RendezvousAgent),
 }
 
@@ -30,6 +47,7 @@
 
     title: str
     begin: Callable[[StreamWorld], None]
+    end: Callable[[StreamWorld], None] = lambda world: world.network.heal()
 
 
 def _stop_agents(world: StreamWorld) -> None:
@@ -38,7 +56,22 @@
         agent.is_up = False
 
 
-STREAM_SCENARIOS = {
+def _flap(world: StreamWorld) -> None:
+    """Have every seventh upstream refuse flows for every other second until the fault ends."""
+    refuses = not world.agents[0].upstream.fault.refuses
+    world.set_fault(UpstreamFault(refuses=refuses))
+    if world.now + FLAP_S < FAULT_END_S:
+        world.scheduler.after(FLAP_S, lambda: _flap(world))
+
+
+def _sick_upstreams(title: str, fault: UpstreamFault) -> StreamScenario:
+    """Return a scenario in which every seventh upstream has a fault."""
+    return StreamScenario(
+        title, lambda world: world.set_fault(fault), lambda world: world.set_fault(NO_FAULT)
+    )
+
+
+CUT_SCENARIOS = {
     "zone-cut": StreamScenario("a failure domain is cut off", lambda w: w.cut_off("a")),
     "bridge-cut": StreamScenario("two domains lose each other", lambda w: w.cut("a", "b")),
     "one-way": StreamScenario(
@@ -47,6 +80,27 @@
     "agents-stop": StreamScenario("a quarter of the agents stops", _stop_agents),
 }
 
+SICK_UPSTREAM_SCENARIOS = {
+    "grey-reset": _sick_upstreams(
+        "upstreams reset two fifths of their requests", UpstreamFault(0.4, resets=True)
+    ),
+    "grey-hang": _sick_upstreams(
+        "upstreams never answer two fifths of their requests", UpstreamFault(0.4, hangs=True)
+    ),
+    "lying-health": _sick_upstreams(
+        "upstreams reset all requests and say that they are well", UpstreamFault(resets=True)
+    ),
+    "silent": _sick_upstreams("upstreams fall silent", UpstreamFault(refuses=True)),
+    "slow-upstreams": _sick_upstreams(
+        "upstreams work five times as long", UpstreamFault(slowness=5.0)
+    ),
+    "flapping": StreamScenario(
+        "upstreams fall silent every other second", _flap, lambda world: world.set_fault(NO_FAULT)
+    ),
+}
+
+STREAM_SCENARIOS = CUT_SCENARIOS | SICK_UPSTREAM_SCENARIOS
+
 
 class StreamFigures(NamedTuple):
     """Shares of requests that met their target, by when they started, and what went wrong."""
@@ -71,7 +125,7 @@
     world.run_until(FAULT_AT_S)
     STREAM_SCENARIOS[scenario].begin(world)
     world.run_until(FAULT_END_S)
-    world.network.heal()
+    STREAM_SCENARIOS[scenario].end(world)
     world.run_until(END_S)
     found_at_s = FAULT_AT_S + FOUND_WITHIN_S
     runs = world.runs()
--- a/src/heatheryoke/measure/stream_world.py
+++ b/src/heatheryoke/measure/stream_world.py
@@ -42,10 +42,10 @@
 from heatheryoke.inventory.model import Address
 from heatheryoke.measure.network import Network
 from heatheryoke.measure.scheduler import Scheduler
-from heatheryoke.platform.packets import ACK, BOUNCED, FIN, SYN, PacketCodec
+from heatheryoke.platform.packets import ACK, BOUNCED, FIN, RST, SYN, PacketCodec
 from heatheryoke.standins.stream_packets import build_packet
 
-__all__ = ["Roles", "StreamOutcome", "StreamSite", "StreamWorld"]
+__all__ = ["NO_FAULT", "Roles", "StreamOutcome", "StreamSite", "StreamWorld", "UpstreamFault"]
 
 PEER_PORT = 7_000
 APP_PORT = 8_000
@@ -79,7 +79,7 @@
     """The reducers that are run."""
 
     balancer: type[StreamBalancer] = StreamBalancer
-    agent: type[StreamAgent] = StreamAgent
+    agent: Callable[..., StreamAgent] = StreamAgent
 
 
 class StreamOutcome(NamedTuple):
@@ -91,6 +91,23 @@
     tries: int
 
 
+class UpstreamFault(NamedTuple):
+    """What an upstream does to a share of its requests while its entry in the store is unchanged.
+
+    `refuses` means that it accepts no flow, `resets` that it resets the flow of a request at once,
+    and `hangs` that it never answers. Its work takes `slowness` times as long.
+    """
+
+    share: float = 1.0
+    refuses: bool = False
+    resets: bool = False
+    hangs: bool = False
+    slowness: float = 1.0
+
+
+NO_FAULT = UpstreamFault()
+
+
 class StreamUpstreamModel:
     """An upstream that answers one request per flow, with a queue before its slots."""
 
@@ -101,10 +118,17 @@
         self.busy = 0
         self.queue: list[FlowKey] = []
         self.runs: Counter[FlowKey] = Counter()
+        self.fault = NO_FAULT
+
+    def fails(self) -> bool:
+        """Return whether the fault hits the next request."""
+        return self.fault.share == 1.0 or self.world.random.random() < self.fault.share
 
     def on_packet(self, flow: FlowKey, packet: bytes) -> None:
         """Handle a caller's packet; return it to the agent if its flow is unknown."""
         head = self.world.codec.read_header(packet)
+        if self.fault.refuses:
+            return
         if head.opens:
             sequence = self.sequences.setdefault(flow, self.world.random.getrandbits(31))
             self.answer(flow, SYN | ACK, sequence)
@@ -113,7 +137,12 @@
             returned[FLAGS_OFFSET] |= BOUNCED
             self.process.step(UpstreamPacket(self.world.now, flow, bytes(returned)))
         elif head.length and flow not in self.runs:
+            if self.fault.resets and self.fails():
+                self.answer(flow, RST, self.sequences.pop(flow) + 1)
+                return
             self.runs[flow] += 1
+            if self.fault.hangs and self.fails():
+                return
             self.queue.append(flow)
             self.start_queued()
 
@@ -122,7 +151,8 @@
         while self.queue and self.busy < self.world.site.slots:
             flow = self.queue.pop(0)
             self.busy += 1
-            work_s = self.world.random.expovariate(1 / self.world.site.work_s)
+            mean_s = self.world.site.work_s * self.fault.slowness
+            work_s = self.world.random.expovariate(1 / mean_s)
             self.world.scheduler.after(work_s, lambda flow=flow: self.finish(flow))
 
     def finish(self, flow: FlowKey) -> None:
@@ -367,6 +397,11 @@
             if other != domain:
                 self.cut(domain, other)
 
+    def set_fault(self, fault: UpstreamFault, every: int = 7) -> None:
+        """Give every n-th upstream a fault, or end it."""
+        for agent in self.agents[::every]:
+            agent.upstream.fault = fault
+
     def offer_load(self, until: float) -> None:
         """Start requests at the site's rate until a time."""
         if self.now >= until:
--- a/src/heatheryoke/platform/process.py
+++ b/src/heatheryoke/platform/process.py
@@ -1,8 +1,15 @@
-"""The platform's interface to a process: its readiness check and its settings variable."""
+"""The platform's interface to a process: its readiness check, settings variable and contracts."""
 
-__all__ = ["READY_PATH", "SETTINGS_VARIABLE"]
+__all__ = ["READY_PATH", "SETTINGS_VARIABLE", "requires_judgement"]
 
 # Responds with 200 while callers' packets should be sent to this process, 503 otherwise.
 READY_PATH = "/v1/ready"
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "HEATHERYOKE_BOOT"
+# The contract under which upstreams fail although their health check succeeds.
+HEALTH_CONTRACT = "health"
+
+
+def requires_judgement(contracts: str) -> bool:
+    """Return whether a list of contracts, separated by commas, asks to judge upstreams."""
+    return HEALTH_CONTRACT in (name.strip() for name in contracts.split(","))
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -21,7 +21,7 @@
 from heatheryoke.core.sent_openings import MAXIMUM_RESENDS
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address, Host, Role
-from heatheryoke.measure.stream_scenarios import STREAM_SCENARIOS, run_stream_scenario
+from heatheryoke.measure.stream_scenarios import CUT_SCENARIOS, run_stream_scenario
 from heatheryoke.measure.stream_world import StreamSite, StreamWorld
 from heatheryoke.platform.packets import ACK, SYN
 from heatheryoke.wire.peers import open_datagram, seal_datagram
@@ -343,7 +343,7 @@
 
 
 class TestStreamScenarios:
-    @pytest.mark.parametrize("scenario", STREAM_SCENARIOS)
+    @pytest.mark.parametrize("scenario", CUT_SCENARIOS)
     def test_serve_more_than_plain_rendezvous_hashing(self, scenario):
         ours = run_stream_scenario(scenario, "heatheryoke", 3)
         plain = run_stream_scenario(scenario, "rendezvous", 3)
