Count a slow upstream's work by the time that it takes

Cause: the load of an upstream counted its requests, so one that had turned slow got new flows until its work had piled up.

--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -289,10 +289,18 @@
         if not self.has_room() and not self.queue.can_add(now, self.service_s(), slots):
             return inf
         busy = len(self.in_progress) + len(self.queue) + self.pending_offers.count(now)
-        penalty = self.monitor.load_penalty()
-        if opens_feed:
-            return (self.feed_count + REQUEST_WEIGHT * busy) / slots + penalty
-        return (busy + FEED_WEIGHT * self.feed_count) / slots + penalty
+        weight = REQUEST_WEIGHT if opens_feed else 1.0
+        flows = self.feed_count if opens_feed else FEED_WEIGHT * self.feed_count
+        work = self.work_on_arrival(weight * busy + flows, weight)
+        return work / slots + self.monitor.load_penalty()
+
+    def work_on_arrival(self, work: float, own_work: float) -> float:
+        """Return the work that a new flow finds, in the time that usual requests take.
+
+        All of it takes longer by the upstream's slowness, and so does the new flow's own work.
+        """
+        slowness = self.monitor.slowness()
+        return work * slowness + own_work * (slowness - 1)
 
     def cold_rate(self, now: float) -> float | None:
         """Return the limit on new flows per second of a cold upstream, None without a limit."""
--- a/src/heatheryoke/core/upstream_monitor.py
+++ b/src/heatheryoke/core/upstream_monitor.py
@@ -14,6 +14,7 @@
 from heatheryoke.core.messages import Forward
 from heatheryoke.core.streams import OwnedStream, StreamHeader
 from heatheryoke.core.upstream_condition import ConditionChange, Evidence, UpstreamCondition
+from heatheryoke.core.upstream_speed import UpstreamSpeed
 
 __all__ = ["Finding", "TrafficMonitor", "Unmonitored", "UpstreamMonitor"]
 
@@ -43,6 +44,10 @@
     def load_penalty(self) -> float:
         """Return what is added to the load that visits report."""
 
+    @abstractmethod
+    def slowness(self) -> float:
+        """Return how many times as long as usual the upstream takes."""
+
     @abstractmethod
     def is_set_aside(self) -> bool:
         """Return whether the upstream should get no new flow now."""
@@ -80,6 +85,10 @@
         """Return 0."""
         return 0.0
 
+    def slowness(self) -> float:
+        """Return 1."""
+        return 1.0
+
     def is_set_aside(self) -> bool:
         """Return False."""
         return False
@@ -110,6 +119,7 @@
 
     def __init__(self):
         self.condition = UpstreamCondition()
+        self.speed = UpstreamSpeed()
         self.unaccepted: OrderedDict[FlowKey, tuple[float, Forward]] = OrderedDict()
         self.incarnation: tuple[str, int] | None = None
         self.checked_at: float | None = None
@@ -118,6 +128,10 @@
         """Return what is added to the load that visits report."""
         return self.condition.load_penalty()
 
+    def slowness(self) -> float:
+        """Return how many times as long as usual the upstream takes."""
+        return self.speed.slowness()
+
     def is_set_aside(self) -> bool:
         """Return whether the upstream should get no new flow now."""
         return self.condition.is_set_aside()
@@ -134,6 +148,8 @@
     def on_packet(self, owned: OwnedStream, head: StreamHeader, now: float) -> Finding:
         """Derive evidence from a packet that the upstream sent."""
         evidence = evidence_of(owned, head)
+        if evidence is Evidence.SERVED and owned.had_free_slot:
+            self.speed.add(now - owned.waiting_since)
         self.unaccepted.pop(owned.flow, None)
         return self.judge(evidence, now) if evidence else NO_FINDING
 
@@ -142,6 +158,7 @@
         if incarnation == self.incarnation:
             return NO_FINDING
         is_first, self.incarnation = self.incarnation is None, incarnation
+        self.speed = UpstreamSpeed()
         change = None if is_first else self.condition.restart(now)
         return Finding([change], []) if change else NO_FINDING
 
--- a/tests/test_upstream_condition.py
+++ b/tests/test_upstream_condition.py
@@ -21,6 +21,7 @@
     UpstreamCondition,
 )
 from heatheryoke.core.upstream_monitor import TrafficMonitor
+from heatheryoke.core.upstream_speed import UpstreamSpeed
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address, Host, HostState, Role
 from heatheryoke.measure.stream_scenarios import SICK_UPSTREAM_SCENARIOS, run_stream_scenario
@@ -136,6 +137,44 @@
         assert started == TRIAL_SUCCESSES
 
 
+class TestSpeed:
+    """Load pattern: upstreams turn slow by four to eight times for some seconds."""
+
+    def speed_after(self, times):
+        speed = UpstreamSpeed()
+        for took_s in times:
+            speed.add(took_s)
+        return speed
+
+    @pytest.mark.parametrize("factor", (4.0, 8.0))
+    def test_a_slow_upstream_is_found_within_few_answers_and_forgotten(self, factor):
+        random = Random(3)
+        usual = [random.expovariate(50.0) for _ in range(200)]
+        slow = [factor * random.expovariate(50.0) for _ in range(15)]
+        speed = self.speed_after(usual + slow)
+        assert speed.slowness() > 2.0
+        for took_s in usual[:40]:
+            speed.add(took_s)
+        assert speed.slowness() == 1.0
+
+    def test_chance_and_cold_starts_are_not_taken_for_slowness(self):
+        random = Random(4)
+        speed, slow = UpstreamSpeed(), 0
+        for number in range(20_000):
+            factor = 1.6 if number % 1_000 < 50 else 1.0
+            speed.add(factor * 0.02 * random.lognormvariate(-0.125, 0.5))
+            slow += speed.is_slow()
+        assert slow < 20
+
+    def test_a_slow_upstream_without_work_is_not_taken_for_the_best(self):
+        agent = make_judging_agent()
+        agent.monitor.speed = self.speed_after([0.02] * 100 + [0.1] * 20)
+        other = make_judging_agent()
+        for port in (1, 2):
+            open_flow(other, port, NOW)
+        assert agent.load("live", False, NOW) > other.load("live", False, NOW) > 0
+
+
 class ConditionMachine(RuleBasedStateMachine):
     """Any order of answers, failures, restarts and pauses."""
 
