Share the room of an upstream among the kinds of request that wait

Cause: the queue ordered new flows by lateness, priority and deadline, so a burst of an urgent kind took all the room that it reached first and the other kinds starved. Change: where upstreams are judged, a kind that has had more than its share of the work of the last second yields to the kinds that wait and have had less; weights double with each priority; requests of open flows count against their kind. It only orders what waits, so no room is left unused. Tried: shares of the known kinds only; a kind that had never been served got nothing (found by the property test).

--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -9,6 +9,7 @@
 from heatheryoke.core.forwarder import NO_ADDRESS
 from heatheryoke.core.messages import HOP_LIMIT, Forward, Visit
 from heatheryoke.core.opening_queue import OpeningQueue, Waiting
+from heatheryoke.core.room_shares import RoomShares
 from heatheryoke.core.stream_owner import StreamOwner
 from heatheryoke.core.streams import OwnedStream
 from heatheryoke.core.upstream_condition import IMPAIRED_LOAD, Condition, ConditionChange
@@ -31,9 +32,10 @@
 class StreamAdmission(StreamOwner):
     """Admits as many new flows as the upstream can start; queues or passes on the others."""
 
-    def __init__(self, *arguments: Any, **options: Any):
+    def __init__(self, *arguments: Any, shares: RoomShares | None = None, **options: Any):
         super().__init__(*arguments, **options)
-        self.queue: OpeningQueue[Forward] = OpeningQueue()
+        self.shares = shares
+        self.queue: OpeningQueue[Forward] = OpeningQueue(shares)
         self.budget = OpeningBudget()
 
     def become_owner(
@@ -140,6 +142,18 @@
                 effects += self.refuse_flow(message, service, "route changed while waiting")
         return effects
 
+    def note_request(self, owned: OwnedStream, now: float) -> None:
+        """Count a request against the share of its kind."""
+        route = self.topology.route_table.find(owned.flow) if self.shares else None
+        if route is not None:
+            self.shares.note_request(route.name, route.target_latency_s, now)
+
+    def note_answer(self, owned: OwnedStream, took_s: float) -> None:
+        """Record how long a request of a kind took that found a free slot."""
+        route = self.topology.route_table.find(owned.flow) if self.shares else None
+        if route is not None and owned.had_free_slot:
+            self.shares.note_answer(route.name, took_s)
+
     def has_room(self) -> bool:
         """Return whether the upstream can start one more request now or very soon."""
         endpoint = self.topology.endpoints.get((self.service, self.host_name))
@@ -153,7 +167,7 @@
         if route is None:
             return [Count("dropped_no_route")]
         began = now - self.codec.read_header(message.payload).age_s
-        entry = Waiting(message, began, route.priority, route.target_latency_s)
+        entry = Waiting(message, began, route.priority, route.target_latency_s, route.name)
         slots = self.endpoint_of(self.service).slots
         replaced = self.queue.add(message.flow, entry, now, self.service_s(), slots)
         service = self.topology.services[self.service]
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -128,6 +128,8 @@
     def on_topology(self, now: float) -> list[Effect]:
         """Register flows whose homes have changed; at the first view, ask peers for their flows."""
         self.forget_removed_hosts(now)
+        if self.shares is not None:
+            self.shares.retain({route.name for route in self.topology.route_table.routes.values()})
         refusals = self.refuse_contradicted() + self.note_incarnation(now)
         for owned in self.flows.flows.values():
             homes = tuple(home.name for home in self.topology.homes(owned.flow))
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -78,6 +78,14 @@
     def apply_finding(self, finding: Finding, now: float) -> list[Effect]:
         """Act on what was observed of the upstream."""
 
+    @abstractmethod
+    def note_request(self, owned: OwnedStream, now: float) -> None:
+        """Record that a flow's request begins."""
+
+    @abstractmethod
+    def note_answer(self, owned: OwnedStream, took_s: float) -> None:
+        """Record how long a flow's request took."""
+
     @abstractmethod
     def serve_queue(self, now: float) -> list[Effect]:
         """Start waiting flows as far as there is room."""
@@ -91,6 +99,7 @@
             self.registrar.register(owned, self.topology)
         if head.length and not owned.has_request:
             self.start_request(owned, now)
+            self.note_request(owned, now)
             owned.has_request = True
         owned.caller_closed |= head.closes or head.resets
         self.note_end(owned, head, now)
@@ -159,6 +168,7 @@
         took_s = now - owned.waiting_since
         if owned.had_free_slot:
             self.service_times.add(took_s)
+        self.note_answer(owned, took_s)
         self.end_request(owned)
         return [self.measurement("service_seconds", owned.flow, took_s), *self.serve_queue(now)]
 
--- a/src/heatheryoke/daemons/stream_roles.py
+++ b/src/heatheryoke/daemons/stream_roles.py
@@ -8,6 +8,7 @@
 from heatheryoke.core.effects import Deliver, ProbeUpstream
 from heatheryoke.core.events import CallerPacket, UpstreamDown, UpstreamPacket
 from heatheryoke.core.flows import FlowKey, PacketKind
+from heatheryoke.core.room_shares import RoomShares
 from heatheryoke.core.stream_agent import StreamAgent
 from heatheryoke.core.stream_balancer import StreamBalancer
 from heatheryoke.core.upstream_monitor import TrafficMonitor, Unmonitored
@@ -76,6 +77,7 @@
             first_start=settings.first_start,
             flow_lifetime_s=settings.flow_lifetime_s,
             monitor=TrafficMonitor() if settings.judges_upstream else Unmonitored(),
+            shares=RoomShares() if settings.judges_upstream else None,
             failure_domain=settings.failure_domain,
             peer_port=self.peer_address.port,
         )
