--- a/src/heatheryoke/core/upstream_monitor.py
+++ b/src/heatheryoke/core/upstream_monitor.py
@@ -44,6 +44,10 @@
     def load_penalty(self) -> float:
         """Return what is added to the load that visits report."""
 
+    @abstractmethod
+    def condition_name(self) -> str:
+        """Return the upstream's condition, for metrics."""
+
     @abstractmethod
     def slowness(self) -> float:
         """Return how many times as long as usual the upstream takes."""
@@ -85,6 +89,10 @@
         """Return 0."""
         return 0.0
 
+    def condition_name(self) -> str:
+        """Return that it is not judged."""
+        return "not judged"
+
     def slowness(self) -> float:
         """Return 1."""
         return 1.0
@@ -128,6 +136,10 @@
         """Return what is added to the load that visits report."""
         return self.condition.load_penalty()
 
+    def condition_name(self) -> str:
+        """Return the upstream's condition, for metrics."""
+        return self.condition.state.value
+
     def slowness(self) -> float:
         """Return how many times as long as usual the upstream takes."""
         return self.speed.slowness()
--- a/src/heatheryoke/daemons/stream_metrics.py
+++ b/src/heatheryoke/daemons/stream_metrics.py
@@ -17,6 +17,8 @@
 
 __all__ = ["exposition"]
 
+# Routes whose recent work is shown, as many as histograms are kept for.
+MAXIMUM_KINDS = 64
 HISTOGRAM_HELP = {
     "wait_seconds": "Time from a new flow's arrival at its agent to its first packet's delivery.",
     "service_seconds": "Time from a request's arrival at its agent to the first of its answer.",
@@ -63,6 +65,27 @@
             ]
         for name, text, value in gauges:
             yield GaugeMetricFamily(f"heatheryoke_{name}", text, value=value)
+        if isinstance(node, StreamAgent):
+            yield self.condition(node)
+            yield self.recent_work(node)
+
+    @staticmethod
+    def condition(node: StreamAgent) -> Metric:
+        """Return the upstream's condition: the slowness of the one that it is in."""
+        text = "How many times as long as usual the upstream takes, by its condition."
+        family = GaugeMetricFamily("heatheryoke_upstream_slowness", text, labels=["condition"])
+        family.add_metric([node.monitor.condition_name()], node.monitor.slowness())
+        return family
+
+    @staticmethod
+    def recent_work(node: StreamAgent) -> Metric:
+        """Return the work of the last second by route, for the first `MAXIMUM_KINDS` routes."""
+        text = "Recent work by route, in seconds of one slot."
+        family = GaugeMetricFamily("heatheryoke_recent_work", text, labels=["request_class"])
+        if node.shares is not None and node.last_event is not None:
+            for kind in sorted(node.shares.kinds)[:MAXIMUM_KINDS]:
+                family.add_metric([kind], node.shares.recent_work(kind, node.last_event))
+        return family
 
 
 def exposition(node: StoreNode, record: StreamRecord) -> bytes:
--- a/tests/test_upstream_condition.py
+++ b/tests/test_upstream_condition.py
@@ -12,6 +12,7 @@
 from heatheryoke.core.events import StoreChanged, Tick, UpstreamPacket
 from heatheryoke.core.messages import Visit
 from heatheryoke.core.placement import MAXIMUM_VISITS, MORE_VISITS, LeastOfVisited
+from heatheryoke.core.room_shares import RoomShares
 from heatheryoke.core.upstream_condition import (
     IMPAIRED_LOAD,
     MAXIMUM_ASIDE_S,
@@ -22,6 +23,9 @@
 )
 from heatheryoke.core.upstream_monitor import TrafficMonitor
 from heatheryoke.core.upstream_speed import UpstreamSpeed
+from heatheryoke.daemons.json_log import JsonLog
+from heatheryoke.daemons.stream_metrics import exposition
+from heatheryoke.daemons.stream_record import StreamRecord
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address, Host, HostState, Role
 from heatheryoke.measure.stream_scenarios import SICK_UPSTREAM_SCENARIOS, run_stream_scenario
@@ -392,3 +396,13 @@
         event = forward(flow, packet(flow, SYN), assigned=True, visited=visits, now=NOW + 0.1)
         agent.reduce(event)
         assert flow in agent.flows.flows
+
+
+class TestMetrics:
+    def test_show_the_condition_and_the_work_of_each_route(self):
+        agent = make_judging_agent()
+        agent.shares = RoomShares()
+        fail_requests(agent, RST)
+        text = exposition(agent, StreamRecord(JsonLog("agent-1", descriptor=None))).decode()
+        assert 'heatheryoke_upstream_slowness{condition="set aside"} 1.0' in text
+        assert 'heatheryoke_recent_work{request_class="feed"}' in text
