Soak: sick upstreams; contracts as a list in the settings; tests of a planned stop

The soak lets upstreams fall silent, reset, hang or turn slow while their entries say that they are ready, and its agents judge them. The settings keep the whole list of contracts, so that a stand-in can write it back. Two tests of a stopping agent: waiting flows are placed elsewhere, requests in progress end first.

--- a/src/heatheryoke/daemons/setting_values.py
+++ b/src/heatheryoke/daemons/setting_values.py
@@ -7,7 +7,7 @@
 
 from heatheryoke.inventory.model import Address
 
-__all__ = ["SettingProblem", "parse_name", "parse_ports", "parse_seconds"]
+__all__ = ["SettingProblem", "parse_name", "parse_names", "parse_ports", "parse_seconds"]
 __all__ += ["find_unknown", "parse_boolean", "parse_ip", "parse_milliseconds"]
 
 
@@ -33,6 +33,13 @@
     return text
 
 
+def parse_names(text: str) -> tuple[str, ...]:
+    """Return the names in a list separated by commas, none if the text is empty."""
+    if not text.isprintable():
+        raise ValueError("must be printable names separated by commas")
+    return tuple(name.strip() for name in text.split(",") if name.strip())
+
+
 def parse_ip(text: str) -> str:
     """Return an IPv4 address in dotted form."""
     return Address.parse(f"{text}:1").ip
--- a/src/heatheryoke/daemons/stream_roles.py
+++ b/src/heatheryoke/daemons/stream_roles.py
@@ -17,6 +17,7 @@
 from heatheryoke.daemons.stream_settings import StreamSettings, read_stream_settings
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.packets import Side
+from heatheryoke.platform.process import requires_judgement
 
 __all__ = ["STREAM_APPLICATIONS", "StreamAgentApplication", "StreamBalancerApplication", "run_role"]
 
@@ -67,6 +68,7 @@
     def make_node(self) -> StreamAgent:
         """Return the agent's reducer."""
         settings = self.settings
+        judges_upstream = requires_judgement(settings.contracts)
         return StreamAgent(
             settings.ip,
             time.time_ns(),
@@ -76,8 +78,8 @@
             settings.upstream,
             first_start=settings.first_start,
             flow_lifetime_s=settings.flow_lifetime_s,
-            monitor=TrafficMonitor() if settings.judges_upstream else Unmonitored(),
-            shares=RoomShares() if settings.judges_upstream else None,
+            monitor=TrafficMonitor() if judges_upstream else Unmonitored(),
+            shares=RoomShares() if judges_upstream else None,
             failure_domain=settings.failure_domain,
             peer_port=self.peer_address.port,
         )
--- a/src/heatheryoke/daemons/stream_settings.py
+++ b/src/heatheryoke/daemons/stream_settings.py
@@ -12,11 +12,11 @@
     parse_ip,
     parse_milliseconds,
     parse_name,
+    parse_names,
     parse_ports,
     parse_seconds,
 )
 from heatheryoke.inventory.model import Address, Role
-from heatheryoke.platform.process import requires_judgement
 
 __all__ = ["STREAM_SETTINGS", "StreamSetting", "StreamSettings", "read_stream_settings"]
 
@@ -41,7 +41,7 @@
     upstream: Address | None
     service: str | None
     flow_lifetime_s: float | None
-    judges_upstream: bool | None = False
+    contracts: tuple[str, ...] | None = ()
 
 
 class StreamSetting(NamedTuple):
@@ -158,10 +158,10 @@
         "The longest time that a flow keeps its upstream (s).",
     ),
     StreamSetting(
-        "judges_upstream",
+        "contracts",
         "upstream",
         "contracts",
-        requires_judgement,
+        parse_names,
         AGENT_ONLY,
         "The parts of the platform's rules in force, separated by commas; `health` makes the agent"
         " judge its upstream by its answers. Optional.",
--- a/src/heatheryoke/platform/process.py
+++ b/src/heatheryoke/platform/process.py
@@ -10,6 +10,6 @@
 HEALTH_CONTRACT = "health"
 
 
-def requires_judgement(contracts: str) -> bool:
-    """Return whether a list of contracts, separated by commas, asks to judge upstreams."""
-    return HEALTH_CONTRACT in (name.strip() for name in contracts.split(","))
+def requires_judgement(contracts: tuple[str, ...]) -> bool:
+    """Return whether the contracts in force ask to judge upstreams by their answers."""
+    return HEALTH_CONTRACT in contracts
--- a/src/heatheryoke/standins/soak_faults.py
+++ b/src/heatheryoke/standins/soak_faults.py
@@ -12,6 +12,7 @@
 from heatheryoke.standins.process_site import ProcessStreamSite
 from heatheryoke.standins.route_checker import RouteChecker
 from heatheryoke.standins.stream_site import SHEETS, StreamHost
+from heatheryoke.standins.stream_upstream import Sickness
 
 __all__ = ["FAULTS", "Fault", "FaultTarget"]
 
@@ -26,6 +27,7 @@
 SIGNALS_BEFORE_STOP = (0, 4)
 SIGNAL_GAP_S = (0.0, 0.4)
 HARMLESS_SIGNALS = (signal.SIGHUP, signal.SIGSTOP)
+SICKNESSES = tuple(sickness for sickness in Sickness if sickness is not Sickness.NONE)
 
 
 class FaultTarget(ABC):
@@ -134,6 +136,15 @@
         await target.site.start_upstream(host)
 
 
+async def sicken_upstream(target: FaultTarget) -> None:
+    """Let an upstream fail for a time while its entry in the store says that it is ready."""
+    async with target.reserved_host(Role.AGENT) as host:
+        upstream = target.site.upstreams[host.name]
+        upstream.sickness = target.random.choice(SICKNESSES)
+        await target.wait_random(FAULT_DURATION_S)
+        upstream.sickness = Sickness.NONE
+
+
 async def drain_upstream(target: FaultTarget) -> None:
     """Drain an upstream, check that it receives no new flows, and make it ready again."""
     async with target.reserved_host(Role.AGENT) as host:
@@ -212,6 +223,7 @@
     "all killed": Fault(False, lambda t: kill_together(t, 1.0)),
     "many killed": Fault(False, lambda t: kill_together(t, 0.5)),
     "upstream replaced": Fault(False, replace_upstream),
+    "upstream sick": Fault(False, sicken_upstream),
     "upstream drained": Fault(True, drain_upstream),
     "domain withdrawn": Fault(True, withdraw_domain),
     "route removed": Fault(True, remove_route),
--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -228,6 +228,7 @@
             Address(host.ip, self.ports.app) if is_agent else None,
             host.service,
             60.0 if is_agent else None,
+            ("health",) if is_agent else None,
         )
 
     async def start_process(self, host: StreamHost) -> None:
--- a/src/heatheryoke/standins/stream_upstream.py
+++ b/src/heatheryoke/standins/stream_upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from enum import Enum
 from typing import NamedTuple
 
 from heatheryoke.core.flows import FlowKey, describe_flow, flow_tuple
@@ -12,12 +13,13 @@
 from heatheryoke.standins.stream_packets import Packet, build_packet, read_packet
 from heatheryoke.standins.stream_store import StreamStore
 
-__all__ = ["StreamUpstream"]
+__all__ = ["Sickness", "StreamUpstream"]
 
 PACKET_DATA = 1_200
 RETRANSMIT_S = 0.2
 RETRANSMISSIONS = 5
 FLAGS_OFFSET = 20
+SICK_SLOWNESS = 10
 
 
 class Opening(NamedTuple):
@@ -27,6 +29,16 @@
     copy: int
 
 
+class Sickness(Enum):
+    """What an upstream does wrong while its entry in the store says that it is ready."""
+
+    NONE = "none"
+    SILENT = "receives nothing"
+    RESETS = "resets requests"
+    HANGS = "answers no request"
+    SLOW = "takes ten times as long"
+
+
 class Connection:
     """State of one flow at the upstream."""
 
@@ -60,6 +72,7 @@
         self.slots = 4
         self.work_s = 0.02
         self.response_bytes = 3_000
+        self.sickness = Sickness.NONE
         self.state = "ready"
         self.born_ms = time.time_ns() // 1_000_000
         self.sequence = 0
@@ -115,6 +128,8 @@
 
     def on_datagrams(self, batch: list[Datagram]) -> None:
         """Process packets from the agent, and count altered ones."""
+        if self.sickness is Sickness.SILENT:
+            return
         for data, _ in batch:
             packet = read_packet(data)
             if packet is None or (packet.has(SYN) and packet.has(ACK)):
@@ -161,14 +176,20 @@
         if head.sequence != connection.expected:
             self.send(flow, ACK, connection.sequence, connection.expected)
             return
+        if self.sickness is Sickness.RESETS:
+            del self.connections[flow]
+            self.send(flow, RST, connection.sequence, connection.expected)
+            return
         connection.expected = (connection.expected + len(packet.data)) % 2**32
         self.send(flow, ACK, connection.sequence, connection.expected)
-        self.spawn(self.work(flow, connection, packet.data))
+        if self.sickness is not Sickness.HANGS:
+            self.spawn(self.work(flow, connection, packet.data))
 
     async def work(self, flow: FlowKey, connection: Connection, request: bytes) -> None:
         """Serve a request, and retransmit the answer until it is acknowledged."""
         async with self.free_slots:
-            await asyncio.sleep(self.work_s)
+            slowness = SICK_SLOWNESS if self.sickness is Sickness.SLOW else 1
+            await asyncio.sleep(self.work_s * slowness)
         self.served += 1
         self.run_flows.add(flow)
         line = request.split(b"\r\n", 1)[0]
--- a/tests/test_stream_settings.py
+++ b/tests/test_stream_settings.py
@@ -4,10 +4,12 @@
 import os
 from pathlib import Path
 
+import pytest
 from typer.testing import CliRunner
 
 from heatheryoke.cli import app
 from heatheryoke.core.effects import ProbeUpstream
+from heatheryoke.core.upstream_monitor import TrafficMonitor, Unmonitored
 from heatheryoke.daemons.json_log import JsonLog
 from heatheryoke.daemons.stream_roles import StreamAgentApplication
 from heatheryoke.daemons.stream_settings import STREAM_SETTINGS, read_stream_settings
@@ -94,6 +96,27 @@
             assert settings is None and problems
 
 
+class TestContracts:
+    """What is new takes effect only where the settings call for it."""
+
+    def make_agent(self, folder, text):
+        path = write_settings(folder, text)
+        settings, problems = read_stream_settings(path, Role.AGENT)
+        assert problems == ()
+        return StreamAgentApplication(settings, path, JsonLog("a", descriptor=None)).node
+
+    def test_upstreams_are_judged_under_the_health_contract(self, tmp_path):
+        node = self.make_agent(tmp_path, AGENT_SETTINGS + "contracts = base, health,flows\n")
+        assert isinstance(node.monitor, TrafficMonitor)
+        assert node.queue.shares is node.shares is not None
+
+    @pytest.mark.parametrize("line", ("", "contracts =\n", "contracts = base,flows\n"))
+    def test_they_are_served_as_before_without_it(self, tmp_path, line):
+        node = self.make_agent(tmp_path, AGENT_SETTINGS + line)
+        assert isinstance(node.monitor, Unmonitored)
+        assert node.queue.shares is None
+
+
 class TestCommand:
     def test_check_names_the_line(self, tmp_path):
         path = write_settings(tmp_path, AGENT_SETTINGS.replace("8165", "none"))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -18,6 +18,7 @@
     ProbeUpstream,
     SendForward,
     SendPeer,
+    Stopped,
 )
 from heatheryoke.core.events import (
     CallerPacket,
@@ -292,6 +293,34 @@
         assert of_kind(node.reduce(CallerPacket(NOW, flow, 0, packet(flow, ACK))), SendForward)
 
 
+class TestPlannedStop:
+    """Load pattern: an agent is stopped while new flows wait at its upstream."""
+
+    def test_waiting_flows_are_placed_elsewhere_and_none_is_refused(self):
+        """Guards against flows that were just taken in and are cut off without an answer."""
+        agent = make_agent()
+        flows = [flow_of(port) for port in range(100, 108)]
+        for flow in flows:
+            accept_flow(agent, flow)
+        waiting = set(agent.queue.waiting)
+        assert waiting
+        effects = [*agent.reduce(StopRequested(NOW + 0.01)), *agent.reduce(Tick(NOW + 0.02))]
+        passed_on = {effect.message.flow for effect in of_kind(effects, SendForward)}
+        assert passed_on == waiting
+        assert not of_kind(effects, AnswerCaller)
+        assert not agent.queue
+
+    def test_an_agent_waits_for_the_requests_in_progress(self):
+        agent, flow = make_agent(), flow_of(1)
+        accept_flow(agent, flow)
+        agent.reduce(forward(flow, packet(flow, ACK, 2, 501, b"GET")))
+        agent.reduce(StopRequested(NOW + 0.01))
+        assert not of_kind(agent.reduce(Tick(NOW + 0.2)), Stopped)
+        done = packet(flow, ACK, 501, 5, b"done", from_upstream=True)
+        assert of_kind(agent.reduce(UpstreamPacket(NOW + 0.3, flow, done)), AnswerCaller)
+        assert of_kind(agent.reduce(Tick(NOW + 0.4)), Stopped)
+
+
 class TestHomes:
     """Load pattern: an upstream joins, and at first only some processes have it in their view."""
 
