Take no close for a failure that has overtaken the answer

A trace of packets shows why: the packet that closes a flow arrives ahead of the data that the upstream sent before it, about one short flow in twelve. Ruled out: resets, flows not accepted and requests not answered (none logged there). Change: a close counts only if nothing of the upstream's data is missing before it.

--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -116,6 +116,7 @@
             owned = self.adopt_unknown(event, head)
         self.flows.touch(owned, event.now)
         effects += self.apply_finding(self.monitor.on_packet(owned, head, event.now), event.now)
+        owned.note_upstream_data(head)
         if head.accepts:
             effects += self.on_accepted(owned, head, event.now)
         elif head.length and owned.has_request:
--- a/src/heatheryoke/core/streams.py
+++ b/src/heatheryoke/core/streams.py
@@ -41,6 +41,11 @@
         return PacketKind.OPENS if self.opens else PacketKind.BELONGS
 
 
+def is_ahead(sequence: int, other: int) -> bool:
+    """Return whether a sequence number comes after another."""
+    return 0 < (sequence - other) % SEQUENCE_MODULUS < SEQUENCE_MODULUS // 2
+
+
 class StreamCodec(ABC):
     """Reads and writes the headers of a stream's packets."""
 
@@ -65,11 +70,13 @@
     `had_free_slot` is set if the upstream had a free slot for it, `requests_before` is the number
     of others in progress then, and `is_overdue` is set once it counts as failed. `service_epoch` is
     the version of the configuration that the service was selected by, 0 if unknown. `request_end`
-    is the sequence number after the caller's data, None before the first.
+    is the sequence number after the caller's data, None before the first, and `answer_end` the one
+    after the upstream's.
     """
 
     __slots__ = (
         "accepted",
+        "answer_end",
         "caller_closed",
         "feed",
         "had_free_slot",
@@ -95,6 +102,7 @@
         self.requests_before = 0
         self.is_overdue = False
         self.request_end: int | None = None
+        self.answer_end: int | None = None
         self.feed = False
         self.caller_closed = False
         self.upstream_closed = False
@@ -107,13 +115,21 @@
     def take_new_data(self, head: StreamHeader) -> bool:
         """Record a caller's data; return whether it is new, not sent again."""
         end = (head.sequence + head.length) % SEQUENCE_MODULUS
-        if self.request_end is not None:
-            ahead = (end - self.request_end) % SEQUENCE_MODULUS
-            if ahead == 0 or ahead >= SEQUENCE_MODULUS // 2:
-                return False
+        if self.request_end is not None and not is_ahead(end, self.request_end):
+            return False
         self.request_end = end
         return True
 
+    def note_upstream_data(self, head: StreamHeader) -> None:
+        """Record how far the upstream has sent."""
+        end = (head.sequence + head.accepts + head.length) % SEQUENCE_MODULUS
+        if self.answer_end is None or is_ahead(end, self.answer_end):
+            self.answer_end = end
+
+    def closes_before_data(self, head: StreamHeader) -> bool:
+        """Return whether a closing packet has overtaken data that the upstream sent before it."""
+        return self.answer_end is None or is_ahead(head.sequence, self.answer_end)
+
     def contradicts(self, head: StreamHeader) -> bool:
         """Return whether a caller's packet shows that another upstream accepted the flow."""
         if self.answered or self.accepted is None or head.opens or head.resets:
--- a/src/heatheryoke/core/upstream_monitor.py
+++ b/src/heatheryoke/core/upstream_monitor.py
@@ -227,7 +227,7 @@
         return None
     if head.length:
         return Evidence.SERVED
-    return Evidence.CLOSED if head.closes else None
+    return Evidence.CLOSED if head.closes and not owned.closes_before_data(head) else None
 
 
 def is_overdue(owned: OwnedStream, expected_s: float, slots: int, now: float) -> bool:
--- a/tests/test_upstream_condition.py
+++ b/tests/test_upstream_condition.py
@@ -364,6 +364,17 @@
         agent.reduce(StoreChanged(NOW + 0.1, (endpoint(1, born_ms=9_999)._replace(revision=95),)))
         assert self.state(agent) is Condition.GOOD
 
+    def test_a_close_that_overtakes_the_answer_is_no_failure(self):
+        """Guards against good upstreams that are set aside since packets arrive out of order."""
+        agent = make_judging_agent()
+        for port in range(1, 6):
+            flow, _ = open_flow(agent, port, NOW)
+            send_request(agent, flow, NOW)
+            close = packet(flow, FIN | ACK, 501 + 209, 5, from_upstream=True)
+            agent.reduce(UpstreamPacket(NOW + 0.01, flow, close))
+            upstream_sends(agent, flow, ACK, NOW + 0.01, b"x" * 209)
+        assert self.state(agent) is Condition.GOOD
+
     def test_what_the_caller_ends_is_no_failure(self):
         agent = make_judging_agent()
         for port in range(1, 6):
