Hold no pause of an agent against its upstream

Cause: after a pause an agent discards the packets that arrived meanwhile, among them acceptances and answers. Its next checks would have taken the flows for not accepted, placed them elsewhere, and set a good upstream aside. Change: after a pause nothing is judged by what was in progress before it. Measured: the test fails before.

--- a/src/heatheryoke/core/placement.py
+++ b/src/heatheryoke/core/placement.py
@@ -42,7 +42,7 @@
     def next_candidate(self, candidates: list[Host], visited: tuple[Visit, ...]) -> Host | None:
         """Return the next host by rank; beyond the maximum only while no visited host has room.
 
-        While all of those have an impaired upstream, `MORE_VISITS` others are visited.
+        While the upstreams of all those with room are impaired, `MORE_VISITS` others are visited.
         """
         if len(visited) >= self.maximum and self.choose(candidates, visited) is not None:
             is_impaired = min(visit.load for visit in visited) >= IMPAIRED_LOAD
--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -61,18 +61,24 @@
         )
 
     def apply_finding(self, finding: Finding, now: float) -> list[Effect]:
-        """Log transitions of the upstream's condition; place flows elsewhere that it left."""
+        """Log transitions of the upstream's condition; place elsewhere what it does not take."""
         effects: list[Effect] = []
         for change in finding.changes:
             effects += self.log_condition(change, now)
         if any(change.current is Condition.SET_ASIDE for change in finding.changes):
-            service = self.topology.services.get(self.service)
-            for entry in self.queue.clear():
-                effects += self.place_elsewhere(entry.packet, service, now, IMPAIRED_LOAD)
+            effects += self.place_waiting_elsewhere(now)
         for message in finding.unaccepted:
             effects += self.place_unaccepted(message, now)
         return effects
 
+    def place_waiting_elsewhere(self, now: float) -> list[Effect]:
+        """Place the waiting flows elsewhere, or here again if no other upstream is better."""
+        effects: list[Effect] = []
+        for entry in self.queue.clear():
+            service = self.topology.services.get(self.service)
+            effects += self.place_elsewhere(entry.packet, service, now, IMPAIRED_LOAD)
+        return effects
+
     def log_condition(self, change: ConditionChange, now: float) -> list[Effect]:
         """Return the count and the log entry of a transition, with its evidence."""
         reason = change.evidence.value
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -153,6 +153,7 @@
 
     def on_pause_ended(self, now: float) -> list[Effect]:
         """Register every flow again, since another owner may have registered during the pause."""
+        self.monitor.on_paused(self.in_progress.values())
         if self.topology is not None:
             for owned in self.flows.flows.values():
                 self.registrar.register(owned, self.topology)
--- a/src/heatheryoke/core/upstream_monitor.py
+++ b/src/heatheryoke/core/upstream_monitor.py
@@ -38,7 +38,7 @@
 
 
 class UpstreamMonitor(ABC):
-    """Observes an upstream and says how much its load is raised by its condition."""
+    """Observes an upstream; tells how far its condition and speed raise its load."""
 
     @abstractmethod
     def load_penalty(self) -> float:
@@ -72,6 +72,10 @@
     def on_incarnation(self, incarnation: tuple[str, int], now: float) -> Finding:
         """Record which incarnation of the upstream the store lists."""
 
+    @abstractmethod
+    def on_paused(self, in_progress: Iterable[OwnedStream]) -> None:
+        """Record that this process was paused and has discarded what arrived meanwhile."""
+
     @abstractmethod
     def check(
         self, in_progress: Iterable[OwnedStream], expected_s: float, slots: int, now: float
@@ -115,6 +119,9 @@
         """Return no finding."""
         return NO_FINDING
 
+    def on_paused(self, in_progress: Iterable[OwnedStream]) -> None:
+        """Do nothing."""
+
     def check(
         self, in_progress: Iterable[OwnedStream], expected_s: float, slots: int, now: float
     ) -> Finding:
@@ -154,7 +161,7 @@
         self.unaccepted[message.flow] = now, message
 
     def on_ended(self, flow: FlowKey) -> None:
-        """Stop to expect that a flow is accepted."""
+        """Stop waiting for a flow to be accepted."""
         self.unaccepted.pop(flow, None)
 
     def on_packet(self, owned: OwnedStream, head: StreamHeader, now: float) -> Finding:
@@ -174,6 +181,12 @@
         change = None if is_first else self.condition.restart(now)
         return Finding([change], []) if change else NO_FINDING
 
+    def on_paused(self, in_progress: Iterable[OwnedStream]) -> None:
+        """Judge nothing by what was in progress: its answers may have been discarded."""
+        self.unaccepted.clear()
+        for owned in in_progress:
+            owned.is_overdue = True
+
     def check(
         self, in_progress: Iterable[OwnedStream], expected_s: float, slots: int, now: float
     ) -> Finding:
--- a/tests/test_upstream_condition.py
+++ b/tests/test_upstream_condition.py
@@ -346,6 +346,20 @@
         assert self.state(agent) is Condition.GOOD
         assert not of_kind(effects, SendForward)
 
+    def test_a_pause_of_the_agent_is_not_held_against_its_upstream(self):
+        """Guards against a machine that was only silent for a while and has its work given up:
+        the answers that arrived meanwhile were discarded.
+        """
+        agent = make_judging_agent()
+        for port in range(1, 5):
+            flow, _ = open_flow(agent, port, NOW)
+            send_request(agent, flow, NOW)
+        open_flow(agent, 5, NOW, accepted=False)
+        ticks = [NOW + 3.0 + 0.1 * number for number in range(20)]
+        effects = [effect for now in ticks for effect in agent.reduce(Tick(now))]
+        assert self.state(agent) is Condition.GOOD
+        assert not of_kind(effects, SendForward)
+
     def test_waiting_flows_leave_an_upstream_that_is_set_aside(self):
         agent = make_judging_agent()
         for port in range(100, 105):
