Drop an acceptance that comes after its flow was placed elsewhere

Logs: upstreams took over 0.1 s to accept, four agents in turn placed one flow elsewhere, all acceptances reached the caller, the agents settled on an owner by registrations that the caller did not follow, and the search for the one that it did follow ended with a reset of the open flow. Ruled out: routes not in force (all processes had version 69 0.1 s after it was published). Change: an agent remembers which flows it has given up so, and drops their late acceptances.

--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -90,15 +90,12 @@
         ]
 
     def place_unaccepted(self, message: Forward, now: float) -> list[Effect]:
-        """Place a new flow elsewhere that the upstream has not accepted in time.
-
-        The upstream may still accept it. Then the caller follows one of two acceptances, and the
-        other owner gives the flow up.
-        """
+        """Place a new flow elsewhere that the upstream has not accepted in time."""
         owned = self.flows.flows.get(message.flow)
         if owned is None or owned.accepted is not None or owned.answered:
             return []
         effects = [Count("openings_unaccepted"), *self.give_up(owned, now)]
+        self.note_placed_elsewhere(message.flow)
         service = self.agreed_service(message)
         if service is None:
             return effects + self.drop_contradicted(message)
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -33,6 +33,8 @@
 # callers. The caller of a flow that waited for room may have given up, and such a flow must not
 # keep others out.
 OPENING_S = 0.1
+# Flows remembered that an upstream did not accept in time: some seconds of all its new flows.
+MAXIMUM_PLACED_ELSEWHERE = 2_000
 
 
 class StreamOwner(Home, LinkedNode):
@@ -63,6 +65,7 @@
         self.service_times = ServiceTimes()
         self.scheduled_removals: OrderedDict[FlowKey, OwnedStream] = OrderedDict()
         self.offered: OrderedDict[FlowKey, Forward] = OrderedDict()
+        self.placed_elsewhere: OrderedDict[FlowKey, None] = OrderedDict()
         self.event_handlers[UpstreamPacket] = self.on_upstream_packet
 
     @property
@@ -112,6 +115,8 @@
             return self.on_returned(event, head)
         owned = self.flows.flows.get(event.flow)
         effects: list[Effect] = []
+        if owned is None and head.accepts and event.flow in self.placed_elsewhere:
+            return [Count("acceptances_too_late")]
         if owned is None:
             owned = self.adopt_unknown(event, head)
         self.flows.touch(owned, event.now)
@@ -136,6 +141,16 @@
             self.registrar.register(owned, self.topology)
         return owned
 
+    def note_placed_elsewhere(self, flow: FlowKey) -> None:
+        """Record that a flow was given up since the upstream had not accepted it in time.
+
+        If it accepts the flow later, its acceptance is dropped. The caller might follow it while
+        another upstream's agent registers the flow, and the flow would have two owners.
+        """
+        self.placed_elsewhere[flow] = None
+        if len(self.placed_elsewhere) > MAXIMUM_PLACED_ELSEWHERE:
+            self.placed_elsewhere.popitem(last=False)
+
     def on_accepted(self, owned: OwnedStream, head: StreamHeader, now: float) -> list[Effect]:
         """Record that the upstream has accepted a flow; notify its homes and its balancer."""
         if owned.accepted is not None:
@@ -212,6 +227,7 @@
 
     def adopt(self, owned: OwnedFlow, now: float) -> None:
         """Add a flow to the tables."""
+        self.placed_elsewhere.pop(owned.flow, None)
         self.flows.add(owned)
         self.forget_entry(owned.flow)
         self.feed_count += owned.feed
--- a/tests/test_upstream_condition.py
+++ b/tests/test_upstream_condition.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from heatheryoke.core.effects import LogChange, LogFlow, SendForward
+from heatheryoke.core.effects import AnswerCaller, LogChange, LogFlow, SendForward
 from heatheryoke.core.events import StoreChanged, Tick, UpstreamPacket
 from heatheryoke.core.messages import Visit
 from heatheryoke.core.placement import MAXIMUM_VISITS, MORE_VISITS, LeastOfVisited
@@ -332,6 +332,21 @@
         assert [row.decision for row in of_kind(effects, LogFlow)] == ["not accepted"]
         assert not of_kind(agent.reduce(Tick(NOW + 0.25)), SendForward)
 
+    def test_an_acceptance_that_comes_too_late_is_dropped(self):
+        """Guards against a flow with several owners, of which the caller follows one and the homes
+        keep another, so that a search ends with a reset of an open flow (soak, seed 601).
+        """
+        agent = make_judging_agent()
+        flow, _ = open_flow(agent, 1, NOW, accepted=False)
+        agent.reduce(Tick(NOW + 0.15))
+        late = packet(flow, SYN | ACK, 500, 2, from_upstream=True)
+        effects = agent.reduce(UpstreamPacket(NOW + 0.2, flow, late))
+        assert not of_kind(effects, AnswerCaller)
+        assert flow not in agent.flows.flows
+        open_flow(agent, 1, NOW + 0.3, accepted=False)
+        effects = agent.reduce(UpstreamPacket(NOW + 0.31, flow, late))
+        assert of_kind(effects, AnswerCaller)
+
     def test_an_accepted_flow_is_never_placed_again(self):
         agent = make_judging_agent()
         open_flow(agent, 1, NOW)
