--- a/src/heatheryoke/standins/process_site.py
+++ b/src/heatheryoke/standins/process_site.py
@@ -119,17 +119,18 @@
 
     async def close(self) -> None:
         """Kill every process that was started here and close the stand-ins."""
-        self.end_leftovers()
+        await self.end_leftovers()
         for name in list(self.processes):
             await self.kill_process(name)
         await asyncio.gather(*self.readers.values(), return_exceptions=True)
         await super().close()
         self.folder.cleanup()
 
-    def end_leftovers(self) -> None:
+    async def end_leftovers(self) -> None:
         """Kill and record the processes that run although no host of the site has them."""
         for name, process in self.all_processes:
             if process.returncode is None and self.processes.get(name) is not process:
                 self.leftovers.append(f"{name}: process {process.pid} was left running")
                 with suppress(ProcessLookupError):
                     process.kill()
+                await process.wait()
