--- a/src/heatheryoke/standins/stream_store.py
+++ b/src/heatheryoke/standins/stream_store.py
@@ -3,7 +3,9 @@
 import asyncio
 import base64
 import json
-from typing import Any
+import time
+from collections import deque
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -13,16 +15,31 @@
 
 PAGE_ITEMS = 50
 HISTORY_EVENTS = 10_000
+# Copies that the store can return from: some seconds of the heartbeats of a few hundred upstreams.
+KEPT_COPIES = 2_000
+ERA_HEADER = "Store-Era"
+
+
+class StoreCopy(NamedTuple):
+    """The contents of the store as of a monotonic time."""
+
+    at: float
+    revision: int
+    items: dict[str, dict[str, Any]]
 
 
 class StreamStore:
     """Stores items in memory; may be down, slow, or compacted, for all hosts or some of them.
 
+    It may also return from an older copy; its era, a header of all answers, rises by one each time.
     Each host calls it at an address of its own, which tells who is calling.
     """
 
     def __init__(self):
+        self.era = 1
+        self.written_in_era: set[str] = set()
         self.revision = 1
+        self.copies: deque[StoreCopy] = deque(maxlen=KEPT_COPIES)
         self.items: dict[str, dict[str, Any]] = {}
         self.events: list[dict[str, Any]] = []
         self.last_dropped = 0
@@ -38,6 +55,7 @@
         app = web.Application()
         app.router.add_get("/v1/kv-range", self.on_range)
         app.router.add_get("/v1/kv-watch", self.on_watch)
+        app.on_response_prepare.append(self.add_era)
         self.runner = web.AppRunner(
             app, access_log=None, handle_signals=False, shutdown_timeout=0.2
         )
@@ -71,8 +89,10 @@
             self.append_event({"key": key, "revision": self.revision, "tombstone": True})
 
     def append_event(self, event: dict[str, Any]) -> None:
-        """Append an event to the history and wake the watches."""
+        """Append an event to the history, keep a copy of the items, and wake the watches."""
         self.events.append(event)
+        self.written_in_era.add(event["key"])
+        self.copies.append(StoreCopy(time.monotonic(), self.revision, dict(self.items)))
         if len(self.events) > HISTORY_EVENTS:
             self.compact(HISTORY_EVENTS // 2)
         self.wake_watches()
@@ -85,6 +105,40 @@
         self.events = self.events[len(dropped) :]
         self.wake_watches()
 
+    def return_from_copy(self, age_s: float) -> dict[str, dict[str, Any] | None]:
+        """Go back to a copy at least `age_s` old, or the oldest, in a new era.
+
+        Return the items that the copy lacks or has otherwise, None for one that had been removed.
+        """
+        before, taken_by = self.items, time.monotonic() - age_s
+        older = [copy for copy in self.copies if copy.at <= taken_by]
+        copy = older[-1] if older else self.copies[0]
+        self.era += 1
+        self.written_in_era.clear()
+        self.revision, self.items = copy.revision, dict(copy.items)
+        self.events = [event for event in self.events if event["revision"] <= copy.revision]
+        self.copies = deque((row for row in older or [copy]), maxlen=KEPT_COPIES)
+        self.wake_watches()
+        return {
+            key: before.get(key)
+            for key in before.keys() | copy.items.keys()
+            if before.get(key) != copy.items.get(key)
+        }
+
+    def write_again(self, lost: dict[str, dict[str, Any] | None], prefix: str) -> None:
+        """Write the lost items under a prefix again, unless they have been written since."""
+        for key, item in lost.items():
+            if not key.startswith(prefix) or key in self.written_in_era:
+                continue
+            if item is None:
+                self.delete(key)
+            else:
+                self.put(key, base64.b64decode(item["value"]))
+
+    async def add_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Add the header with the store's era to an answer."""
+        response.headers[ERA_HEADER] = str(self.era)
+
     def check_available(self, request: web.Request) -> None:
         """Raise `HTTPServiceUnavailable` if the store is down, or rejects the caller."""
         called_ip = request.transport.get_extra_info("sockname")[0] if request.transport else ""
@@ -113,7 +167,7 @@
         ends = asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1000
         while True:
             self.check_available(request)
-            if after < self.last_dropped:
+            if after < self.last_dropped or after > self.revision:
                 raise web.HTTPGone
             events = [event for event in self.events if event["revision"] > after]
             events = [event for event in events if event["key"].startswith(prefix)]
