Log a complete read that is older than the view

Cause: the hypotheses of the incident of a late configuration differ in what the store answers: after a return from an older copy, complete reads succeed and are below the view's revision. No line showed it. Change: one line and a counter (older_reads) for such a read. Decisions are as before.

--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -152,11 +152,19 @@
     def on_store_read(self, event: StoreRead) -> list[Effect]:
         """Apply a complete read of the store."""
         effects = self.note_available(event.now)
+        effects += self.note_older_read(event.revision)
         self.view_source = "complete read"
         changed = self.view.replace(event.items, event.revision, event.now)
         self.view.note_complete(event.revision)
         return effects + self.update_topology(changed, event.now)
 
+    def note_older_read(self, revision: int) -> list[Effect]:
+        """Log a complete read of an older revision than the view has."""
+        if revision >= self.view.complete_to:
+            return []
+        reason = f"revision {revision}, the view is complete to {self.view.complete_to}"
+        return [Count("older_reads"), LogChange("store", "older", reason)]
+
     def on_store_changed(self, event: StoreChanged) -> list[Effect]:
         """Apply changes read from the store and send them to the other processes."""
         update = make_store_update(self.view, self.rank, event.after, event.revision, event.items)
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heatheryoke.core.effects import PostponeStoreRead, SendPeer
+from heatheryoke.core.effects import LogChange, PostponeStoreRead, SendPeer
 from heatheryoke.core.events import PeerMessageArrived, StoreChanged, StoreRead
 from heatheryoke.core.messages import StoreUpdate
 from heatheryoke.core.records import (
@@ -173,6 +173,14 @@
         node.reduce(StoreRead(NOW, FIRST, 5))
         assert change.name in (*node.view.withdrawn, *node.view.endpoints)
 
+    def test_it_is_logged(self):
+        node = agent(1, rank=1)
+        node.reduce(PeerMessageArrived(NOW, BALANCER, 1, StoreUpdate(2, 5, 6, ())))
+        logged = [row for row in node.reduce(StoreRead(NOW, FIRST, 5)) if type(row) is LogChange]
+        reason = "revision 5, the view is complete to 6"
+        assert LogChange("store", "older", reason) in logged
+        assert node.reduce(StoreRead(NOW, FIRST, 6)) == []
+
     def test_what_was_removed_before_it_is_removed(self):
         node = agent(1, rank=1)
         node.reduce(StoreRead(NOW, FIRST[:-1], 9))
