Refuse a configuration whose version no datagram can carry

With such a version in force, each message to another process raises struct.error, so that no flow is served any more. Cause: the version was checked to be a number, and not for the 64 bits that a datagram has for it. Change: versions are between 0 and 2**63 - 1, as revisions are. The two new cases failed before.

--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -28,7 +28,7 @@
 # messages, which give a name's length in one byte.
 MAXIMUM_NAME_BYTES = 200
 MAXIMUM_SLOTS = 65_535
-# Revisions and Unix times in milliseconds fit into 63 bits.
+# Revisions, versions and Unix times in milliseconds fit into 63 bits.
 MAXIMUM_INT64 = 2**63 - 1
 # One hour: the longest remaining cold start that is accepted.
 MAXIMUM_COLD_START_MS = 3_600_000
@@ -118,7 +118,7 @@
 
 def _decode_configuration(value: dict[str, Any]) -> ConfigurationRecord:
     return ConfigurationRecord(
-        int(_checked_number(value["version"])),
+        int(_checked_number(value["version"], 0, MAXIMUM_INT64)),
         tuple(_decode_route(entry) for entry in value["routes"]),
         tuple(_decode_service(entry) for entry in value["services"]),
         _checked_number(value["limits"]["idleTimeoutMs"])
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -137,6 +137,12 @@
         assert item is None
         assert isinstance(problem, UnreadableItemError)
 
+    @pytest.mark.parametrize("version", [-1, 2**64])
+    def test_configuration_with_a_version_that_no_datagram_can_carry_is_skipped(self, version):
+        """Every message carries the version, so none could be sent under such a configuration."""
+        decoded, problem = read_item(raw_item("op/config", CONFIGURATION | {"version": version}))
+        assert decoded is None and problem is not None
+
     def test_unreadable_configuration_is_skipped(self):
         decoded, problem = read_item(raw_item("op/config", b"\xff\xfe"))
         assert decoded is None and problem is not None
