An update older than the view postpones no read

Ruled out: an update of the same revision; a paused reader's answer is dropped after the watch's wait and 0.6 s, so that it is younger than that. Change: such an update is counted (news_outdated) and does nothing. The test failed before.

--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -189,6 +189,10 @@
         update = event.message
         if not 0 < update.after <= self.view.complete_to:
             return [Count("news_refused")]
+        if update.revision < self.view.complete_to:
+            # It waited on its way or at a paused sender, so that it does not tell how old this
+            # view is, and postpones no read.
+            return [Count("news_outdated")]
         self.view_source = f"update from {event.sender}"
         effects = self.apply_changes(update.items, update.revision, event.now)
         postponement = PostponeStoreRead(update.revision, update.rank < self.rank)
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -278,6 +278,14 @@
         assert not any(isinstance(effect, PostponeStoreRead) for effect in effects)
         assert not node.view.endpoints["i-2"].is_draining
 
+    def test_an_update_older_than_the_view_postpones_no_read(self):
+        """Updates that arrive late would put off a process's reads for as long as they come."""
+        node = agent(1, 9)
+        node.reduce(PeerMessageArrived(NOW, BALANCER, 1, StoreUpdate(7, 5, 9, ())))
+        effects = node.reduce(PeerMessageArrived(NOW + 1.0, BALANCER, 1, StoreUpdate(7, 5, 8, ())))
+        assert not any(isinstance(effect, PostponeStoreRead) for effect in effects)
+        assert node.view.last_answer_at == NOW
+
     def test_every_agent_ranks_below_every_balancer(self):
         balancer = StreamBalancer("edge", 1, PacketCodec(), address=BALANCER, peer_port=PORT)
         assert agent(1, 0xFFFFFFFF).rank < balancer.rank
