--- a/src/heatheryoke/core/effects.py
+++ b/src/heatheryoke/core/effects.py
@@ -4,6 +4,7 @@
 
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.messages import Forward, PeerMessage
+from heatheryoke.core.records import Position
 from heatheryoke.inventory.model import Address
 
 __all__ = [
@@ -113,12 +114,12 @@
 
 
 class PostponeStoreRead(NamedTuple):
-    """Postpone the next read: all changes of the store up to a revision have been received.
+    """Postpone the next read: all changes of the store up to a position have been received.
 
     `sender_precedes` is True if their sender has a lower rank, so that this process stops reading.
     """
 
-    revision: int
+    position: Position
     sender_precedes: bool
 
 
--- a/src/heatheryoke/core/events.py
+++ b/src/heatheryoke/core/events.py
@@ -4,7 +4,7 @@
 
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.messages import Forward, PeerMessage
-from heatheryoke.core.records import StoreItem
+from heatheryoke.core.records import Position, StoreItem
 from heatheryoke.inventory.model import Address, Document
 
 __all__ = [
@@ -95,20 +95,20 @@
 
 
 class StoreRead(NamedTuple):
-    """The complete contents of the platform's store as of a revision."""
+    """The complete contents of the platform's store as of a position."""
 
     now: float
     items: tuple[StoreItem, ...]
-    revision: int = 0
+    position: Position = Position()
 
 
 class StoreChanged(NamedTuple):
-    """The items of the platform's store that changed after one revision, up to another."""
+    """The items of the platform's store that changed after one position, up to another."""
 
     now: float
     items: tuple[StoreItem, ...]
-    after: int = 0
-    revision: int = 0
+    after: Position = Position()
+    position: Position = Position()
 
 
 class Tick(NamedTuple):
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from heatheryoke.core.flows import FlowKey, PacketKind
-from heatheryoke.core.records import StoreItem
+from heatheryoke.core.records import Position, StoreItem
 from heatheryoke.inventory.model import Address
 
 __all__ = [
@@ -42,6 +42,7 @@
     "ResultRequest",
     "ResultState",
     "Search",
+    "StoreSnapshot",
     "StoreUpdate",
     "Visit",
     "WitnessSet",
@@ -188,14 +189,22 @@
 
 
 class StoreUpdate(NamedTuple):
-    """All changes of the platform's store after one revision, up to another.
+    """All changes of the platform's store after one position, up to another of the same era.
 
     Of several processes that read the store, the one with the lowest `rank` continues.
     """
 
     rank: int
-    after: int
-    revision: int
+    after: Position
+    position: Position
+    items: tuple[StoreItem, ...]
+
+
+class StoreSnapshot(NamedTuple):
+    """The complete contents of the store as of a position in an era that has just begun."""
+
+    rank: int
+    position: Position
     items: tuple[StoreItem, ...]
 
 
@@ -390,6 +399,7 @@
     | RegistrationsAck
     | Yield
     | RecoveryRequest
+    | StoreSnapshot
     | StoreUpdate
     | ConfigurationQuery
     | ConfigurationReply
--- a/src/heatheryoke/core/records.py
+++ b/src/heatheryoke/core/records.py
@@ -9,6 +9,7 @@
 __all__ = [
     "ConfigurationRecord",
     "EndpointRecord",
+    "Position",
     "ServiceRecord",
     "StoreItem",
     "Subject",
@@ -23,6 +24,30 @@
     WITHDRAWAL = "withdrawal"
 
 
+class Position(NamedTuple):
+    """A point in the history of the store.
+
+    The store begins a new `era` when it returns from an older copy, and gives revisions out again.
+    So revisions order changes within an era only, and every position of an era is before those of
+    the next. A store that states no era has era 0.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+    def __str__(self) -> str:
+        revision = f"revision {self.revision}"
+        return f"era {self.era} {revision}" if self.era else revision
+
+    def includes(self, other: "Position") -> bool:
+        """Return whether `other` is a point of the same era up to this one."""
+        return self.era == other.era and other.revision <= self.revision
+
+    def successor(self) -> "Position":
+        """Return the first position after this one."""
+        return Position(self.era, self.revision + 1)
+
+
 class EndpointRecord(NamedTuple):
     """An upstream as it describes itself.
 
@@ -62,13 +87,13 @@
 
 
 class StoreItem(NamedTuple):
-    """One item as of a revision of the store; `record` is None if it is gone or unreadable.
+    """One item as of a position of the store; `record` is None if it is gone or unreadable.
 
     A withdrawal has no record of its own: it is in force while `present`.
     """
 
     subject: Subject
     name: str
-    revision: int
+    position: Position
     present: bool
     record: EndpointRecord | ConfigurationRecord | None
--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -28,10 +28,11 @@
     Forward,
     PeerMessage,
     Relayed,
+    StoreSnapshot,
     StoreUpdate,
 )
 from heatheryoke.core.node import Node
-from heatheryoke.core.records import StoreItem
+from heatheryoke.core.records import Position, StoreItem
 from heatheryoke.core.routed_topology import RoutedTopology
 from heatheryoke.core.routes import describe_changes
 from heatheryoke.core.store_updates import make_store_update
@@ -40,6 +41,9 @@
 
 __all__ = ["StoreNode"]
 
+# Limits the length of a log line on a return of the store that changes much.
+MAXIMUM_NAMED = 8
+
 
 class StoreNode(Node):
     """A node that continues with its last view while the store is unavailable."""
@@ -59,6 +63,7 @@
             PeerMessageArrived: self.on_peer_message,
         }
         self.message_handlers |= {
+            StoreSnapshot: self.on_store_snapshot,
             StoreUpdate: self.on_store_update,
             ConfigurationQuery: self.on_configuration_query,
             ConfigurationReply: self.on_configuration_reply,
@@ -150,52 +155,91 @@
         return self.update_topology(self.view.apply((event.message.item,), event.now), event.now)
 
     def on_store_read(self, event: StoreRead) -> list[Effect]:
-        """Apply a complete read of the store."""
-        effects = self.note_available(event.now)
-        effects += self.note_older_read(event.revision)
-        self.view_source = "complete read"
-        changed = self.view.replace(event.items, event.revision, event.now)
-        self.view.note_complete(event.revision)
-        return effects + self.update_topology(changed, event.now)
-
-    def note_older_read(self, revision: int) -> list[Effect]:
-        """Log a complete read of an older revision than the view has."""
-        if revision >= self.view.complete_to:
+        """Apply a complete read of the store; send it on if it is the first of a new era."""
+        if event.position.era < self.view.complete_to.era:
+            return [Count("older_eras")]
+        is_returned = self.view.is_returned(event.position)
+        effects = self.note_older_read(event.position)
+        effects += self.apply_read(event.items, event.position, "complete read", event.now)
+        if not is_returned or self.current_topology is None:
+            return effects
+        snapshot = StoreSnapshot(self.rank, event.position, event.items)
+        messages = [SendPeer(address, snapshot) for address in self.update_recipients(event.now)]
+        return [*effects, Count("snapshots_sent", len(messages)), *messages]
+
+    def on_store_snapshot(self, event: PeerMessageArrived) -> list[Effect]:
+        """Apply another process's first read of a new era."""
+        snapshot = event.message
+        if not self.view.is_returned(snapshot.position):
+            return [Count("snapshots_outdated")]
+        source = f"snapshot from {event.sender}"
+        effects = self.apply_read(snapshot.items, snapshot.position, source, event.now)
+        postponement = PostponeStoreRead(snapshot.position, snapshot.rank < self.rank)
+        return [Count("snapshots_taken"), postponement, *effects]
+
+    def apply_read(
+        self, items: tuple[StoreItem, ...], position: Position, source: str, now: float
+    ) -> list[Effect]:
+        """Apply the complete contents of the store as of a position."""
+        effects = self.note_available(now)
+        self.view_source = source
+        former, is_returned = self.view.complete_to, self.view.is_returned(position)
+        changed = self.view.replace(items, position, now)
+        if is_returned:
+            effects += self.note_return(former, now)
+        return effects + self.update_topology(changed, now)
+
+    def note_return(self, former: Position, now: float) -> list[Effect]:
+        """Log that the store has returned from an older copy, and what stays in force."""
+        view = self.view
+        kept = [f"{subject.value} {name}" for subject, name in view.deferred.by_key]
+        missing = [f"endpoint {name}" for name in view.expired]
+        reason = (
+            f"from {former} to {view.complete_to} by {self.view_source}, "
+            f"known better {_describe_names(kept)}, missing {_describe_names(missing)}"
+        )
+        return [Count("store_returns"), LogChange("store", "returned", reason)]
+
+    def note_older_read(self, position: Position) -> list[Effect]:
+        """Log a complete read of an older position than the view has."""
+        if position >= self.view.complete_to:
             return []
-        reason = f"revision {revision}, the view is complete to {self.view.complete_to}"
+        reason = f"{position}, the view is complete to {self.view.complete_to}"
         return [Count("older_reads"), LogChange("store", "older", reason)]
 
     def on_store_changed(self, event: StoreChanged) -> list[Effect]:
         """Apply changes read from the store and send them to the other processes."""
-        update = make_store_update(self.view, self.rank, event.after, event.revision, event.items)
+        if event.after.era != self.view.complete_to.era:
+            return [Count("older_eras")]
+        update = make_store_update(self.view, self.rank, event.after, event.position, event.items)
         self.view_source = "watch"
-        effects = self.apply_changes(event.items, event.revision, event.now)
+        effects = self.apply_changes(event.items, event.position, event.now)
         if update is None or self.current_topology is None:
             return effects
         messages = [SendPeer(address, update) for address in self.update_recipients(event.now)]
         return [*effects, Count("news_told", len(messages)), *messages]
 
     def apply_changes(
-        self, items: tuple[StoreItem, ...], revision: int, now: float
+        self, items: tuple[StoreItem, ...], position: Position, now: float
     ) -> list[Effect]:
-        """Apply all changes up to a revision."""
+        """Apply all changes up to a position."""
         effects = self.note_available(now)
         changed = self.view.apply(items, now)
-        self.view.note_complete(revision)
+        self.view.note_complete(position)
         return effects + self.update_topology(changed, now)
 
     def on_store_update(self, event: PeerMessageArrived) -> list[Effect]:
         """Apply changes that another process has read, unless earlier ones are missing here."""
         update = event.message
-        if not 0 < update.after <= self.view.complete_to:
+        if update.after.revision == 0 or not self.view.complete_to.includes(update.after):
             return [Count("news_refused")]
-        if update.revision < self.view.complete_to:
+        if update.position < self.view.complete_to:
             # It waited on its way or at a paused sender, so that it does not tell how old this
             # view is, and postpones no read.
             return [Count("news_outdated")]
         self.view_source = f"update from {event.sender}"
-        effects = self.apply_changes(update.items, update.revision, event.now)
-        postponement = PostponeStoreRead(update.revision, update.rank < self.rank)
+        effects = self.apply_changes(update.items, update.position, event.now)
+        postponement = PostponeStoreRead(update.position, update.rank < self.rank)
         return [Count("news_taken"), postponement, *effects]
 
     @property
@@ -217,11 +261,7 @@
     def note_available(self, now: float) -> list[Effect]:
         """Record that the store answers."""
         was_unavailable = self.view.note_available(now)
-        return (
-            [LogChange("store", "regained", f"revision {self.view.revision}")]
-            if was_unavailable
-            else []
-        )
+        return [LogChange("store", "regained", str(self.view.position))] if was_unavailable else []
 
     def update_topology(self, changed: bool, now: float) -> list[Effect]:
         """Bring a changed view into force."""
@@ -247,7 +287,7 @@
         names = {host.name for host in current}
         parts = [f"{host.name}={host.state.value}" for host in current - previous]
         parts += [f"{host.name}=removed" for host in previous - current if host.name not in names]
-        return LogChange("view", f"revision {self.view.revision}", ",".join(sorted(parts)))
+        return LogChange("view", str(self.view.position), ",".join(sorted(parts)))
 
     def configuration_log_entry(self, before: int, now: float) -> LogChange:
         """Return the log entry of a configuration that has come into force."""
@@ -275,7 +315,8 @@
     def on_tick(self, event: Tick) -> list[Effect]:
         """Do the periodic work that is due."""
         now = event.now
-        effects = self.update_topology(self.view.remove_expired(now), now)
+        changed = self.view.remove_expired(now) | self.view.apply_deferred(now)
+        effects = self.update_topology(changed, now)
         if self.current_topology is not None:
             effects += self.query_configuration(now)
             effects += self.advance(now)
@@ -286,3 +327,10 @@
     def former_topology(self, now: float, within_s: float) -> RoutedTopology | None:
         """Return the previous view if it was in force less than `within_s` ago, else None."""
         return self.previous_topology if now - self.changed_at < within_s else None
+
+
+def _describe_names(names: list[str]) -> str:
+    """Return a list of names, shortened to a number beyond `MAXIMUM_NAMED`."""
+    return (
+        ",".join(sorted(names)) or "none" if len(names) <= MAXIMUM_NAMED else f"{len(names)} items"
+    )
--- a/src/heatheryoke/core/store_updates.py
+++ b/src/heatheryoke/core/store_updates.py
@@ -7,7 +7,7 @@
 """
 
 from heatheryoke.core.messages import StoreUpdate
-from heatheryoke.core.records import EndpointRecord, StoreItem, Subject
+from heatheryoke.core.records import EndpointRecord, Position, StoreItem, Subject
 from heatheryoke.core.store_view import StoreView
 
 __all__ = ["MAXIMUM_ITEMS", "make_store_update"]
@@ -17,28 +17,32 @@
 
 
 def make_store_update(
-    view: StoreView, rank: int, after: int, revision: int, items: tuple[StoreItem, ...]
+    view: StoreView,
+    rank: int,
+    after: Position,
+    position: Position,
+    items: tuple[StoreItem, ...],
 ) -> StoreUpdate | None:
-    """Return the changes after a revision for processes that have all up to it.
+    """Return the changes after a position for processes that have all up to it.
 
     Return None if there are too many. Heartbeats are left out. If any item of a name is a
     change, all items of that name are sent, since one may undo the one before.
     """
-    if after == 0:
+    if after.revision == 0:
         return None
     changed = {(item.subject, item.name) for item in items if _is_change(view, item, after)}
     included = tuple(item for item in items if (item.subject, item.name) in changed)
-    return StoreUpdate(rank, after, revision, included) if len(included) <= MAXIMUM_ITEMS else None
+    return StoreUpdate(rank, after, position, included) if len(included) <= MAXIMUM_ITEMS else None
 
 
-def _is_change(view: StoreView, item: StoreItem, after: int) -> bool:
-    """Return whether an item is more than a heartbeat that repeats the entry as of a revision.
+def _is_change(view: StoreView, item: StoreItem, after: Position) -> bool:
+    """Return whether an item is more than a heartbeat that repeats the entry as of a position.
 
     An entry that `view` has had from elsewhere since then may be new to the receivers.
     """
     if item.subject is not Subject.ENDPOINT:
         return True
-    if view.revisions.get((item.subject, item.name), 0) > after:
+    if view.position_of(item) > after:
         return True
     held = view.endpoints.get(item.name)
     if not isinstance(item.record, EndpointRecord):
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -1,8 +1,9 @@
 """A process's view of the deployment, built from the items of the platform's store.
 
-An item is replaced only by one of a later revision, and a configuration only by one of a later
+An item is replaced only by one of a later position, and a configuration only by one of a later
 version. An upstream whose entry disappears during a store outage or shortly after it is kept for
-a grace period, since the entry may have expired although the upstream is alive.
+a grace period, since the entry may have expired although the upstream is alive. After the store
+has returned from an older copy, what the view knows better stays in force for a time.
 """
 
 from math import inf
@@ -10,12 +11,19 @@
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
+    Position,
     ServiceRecord,
     StoreItem,
     Subject,
 )
 from heatheryoke.core.routed_topology import RoutedTopology
 from heatheryoke.core.routes import RouteTable
+from heatheryoke.core.store_return import (
+    PERMIT_GRACE_S,
+    RESTRICT_GRACE_S,
+    DeferredItems,
+    Departures,
+)
 from heatheryoke.inventory.model import (
     Address,
     Document,
@@ -45,7 +53,7 @@
     def __init__(self, peer_port: int):
         self.peer_port = peer_port
         self.endpoints: dict[str, EndpointRecord] = {}
-        self.revisions: dict[tuple[Subject, str], int] = {}
+        self.positions: dict[tuple[Subject, str], Position] = {}
         self.withdrawn: set[str] = set()
         self.returned_at: dict[str, float] = {}
         self.cold_until: dict[str, float] = {}
@@ -53,8 +61,11 @@
         self.configuration: ConfigurationRecord | None = None
         self.route_table: RouteTable | None = None
         self.limits: dict[str, ServiceRecord] = {}
-        self.revision = 0
-        self.complete_to = 0
+        self.position = Position()
+        self.complete_to = Position()
+        self.deferred = DeferredItems()
+        self.departures = Departures()
+        self.returned_from_copy_at = -inf
         self.unavailable_since: float | None = None
         self.available_since = -inf
         self.first_read_at = inf
@@ -82,37 +93,110 @@
         undisturbed_since = max(self.first_read_at, self.available_since, self.last_removed_at)
         return self.unavailable_since is None and now - undisturbed_since > SETTLED_S
 
-    def note_complete(self, revision: int) -> None:
-        """Record that every change up to a revision has been applied."""
-        self.complete_to = max(self.complete_to, revision)
+    def note_complete(self, position: Position) -> None:
+        """Record that every change up to a position has been applied."""
+        self.complete_to = max(self.complete_to, position)
+
+    def position_of(self, item: StoreItem) -> Position:
+        """Return the position of the change that is held of an item."""
+        return self.positions.get((item.subject, item.name), Position())
+
+    def is_returned(self, position: Position) -> bool:
+        """Return whether the store was in an older era when this view was last complete."""
+        return position.era > self.complete_to.era and self.first_read_at < inf
 
-    def replace(self, items: tuple[StoreItem, ...], revision: int, now: float) -> bool:
-        """Apply a complete read as of a revision; return whether the topology changes.
+    def replace(self, items: tuple[StoreItem, ...], position: Position, now: float) -> bool:
+        """Apply a complete read as of a position; return whether the topology changes.
 
         What the read lacks is removed, unless a later change of it is held from a peer.
         """
+        is_returned = self.is_returned(position)
         self.first_read_at = min(self.first_read_at, now)
+        items = (*self.items_lacking(items, position), *items)
+        if is_returned:
+            self.returned_from_copy_at = now
+            items = self.defer_contradictions(items, now)
+        changed = self.apply(items, now)
+        self.note_complete(position)
+        return changed
+
+    def items_lacking(
+        self, items: tuple[StoreItem, ...], position: Position
+    ) -> tuple[StoreItem, ...]:
+        """Return the removals of what is held as of a position and is not among some items."""
         present = {(item.subject, item.name) for item in items}
-        held = [
-            *((Subject.ENDPOINT, name) for name in self.endpoints),
-            *((Subject.WITHDRAWAL, name) for name in self.withdrawn),
-        ]
-        removed = [
-            StoreItem(subject, name, self.revisions[subject, name] + 1, False, None)
-            for subject, name in held
-            if (subject, name) not in present and self.revisions[subject, name] <= revision
-        ]
-        return self.apply((*removed, *items), now)
+        held = dict.fromkeys(
+            (
+                *((Subject.ENDPOINT, name) for name in self.endpoints),
+                *((Subject.WITHDRAWAL, name) for name in self.withdrawn),
+                *self.deferred.by_key,
+            )
+        )
+        in_era = Position(position.era, 0)
+        return tuple(
+            StoreItem(*key, max(self.positions[key].successor(), in_era), False, None)
+            for key in held
+            if key not in present and self.positions[key] <= position
+        )
+
+    def defer_contradictions(
+        self, items: tuple[StoreItem, ...], now: float
+    ) -> tuple[StoreItem, ...]:
+        """Defer the items of an older copy that the view knows better; return the others."""
+        accepted = []
+        for item in items:
+            grace_s = CONTRADICTION_BY_SUBJECT[item.subject](self, item)
+            if grace_s and item.position > self.position_of(item):
+                self.positions[item.subject, item.name] = item.position
+                self.deferred.defer(item, now + grace_s)
+            else:
+                accepted.append(item)
+        return tuple(accepted)
+
+    def endpoint_contradiction(self, item: StoreItem) -> float:
+        """Return for how long a departure or a drain is known better than an entry, 0 if not."""
+        record, held = item.record, self.endpoints.get(item.name)
+        if not isinstance(record, EndpointRecord):
+            return 0.0
+        if held is None or record.born_ms < held.born_ms:
+            known = self.departures.includes(item.name, record.born_ms)
+        else:
+            known = record.born_ms == held.born_ms and held.is_draining > record.is_draining
+        return RESTRICT_GRACE_S if known else 0.0
+
+    def withdrawal_contradiction(self, item: StoreItem) -> float:
+        """Return for how long a withdrawal, or its end, is known better than an item."""
+        if item.present == (item.name in self.withdrawn):
+            return 0.0
+        if not item.present:
+            return RESTRICT_GRACE_S
+        return PERMIT_GRACE_S if item.name in self.returned_at else 0.0
+
+    def configuration_contradiction(self, item: StoreItem) -> float:
+        """Return 0: a configuration is replaced only by a later version."""
+        return 0.0
+
+    def apply_deferred(self, now: float) -> bool:
+        """Apply the deferred items that are due; return whether the topology changes."""
+        changed = False
+        for item in self.deferred.take_due(self.last_answer_at):
+            changed |= APPLY_BY_SUBJECT[item.subject](self, item, now)
+        return changed
 
     def apply(self, items: tuple[StoreItem, ...], now: float) -> bool:
-        """Apply items newer than those held; return whether the topology changes."""
+        """Apply items newer than those held; return whether the topology changes.
+
+        A configuration is as new as its version, which a return of the store does not give out
+        again, so that one from a peer may be newer than the store's.
+        """
         changed = False
         for item in items:
-            key = (item.subject, item.name)
-            if item.revision <= self.revisions.get(key, 0):
+            key, held = (item.subject, item.name), self.position_of(item)
+            if item.position <= held and item.subject is not Subject.CONFIGURATION:
                 continue
-            self.revisions[key] = item.revision
-            self.revision = max(self.revision, item.revision)
+            self.deferred.discard(key)
+            self.positions[key] = max(held, item.position)
+            self.position = max(self.position, item.position)
             changed |= APPLY_BY_SUBJECT[item.subject](self, item, now)
         return changed
 
@@ -122,6 +206,8 @@
         held = self.endpoints.get(item.name)
         if not isinstance(record, EndpointRecord):
             return held is not None and self.drop_endpoint(item.name, held, now)
+        if held is not None and held.born_ms < record.born_ms:
+            self.departures.add([(item.name, held.born_ms)], now)
         self.expired.pop(item.name, None)
         self.endpoints[item.name] = record
         if record.cold_s > 0:
@@ -131,6 +217,7 @@
     def drop_endpoint(self, name: str, held: EndpointRecord, now: float) -> bool:
         """Remove an upstream, unless its entry may have expired because of a store outage."""
         del self.endpoints[name]
+        self.departures.add([(name, held.born_ms)], now)
         if not held.is_draining:
             self.last_removed_at = now
         if not held.is_draining and self.may_have_expired(now):
@@ -140,7 +227,9 @@
         return True
 
     def may_have_expired(self, now: float) -> bool:
-        """Return whether an entry may be missing only because the store was unavailable."""
+        """Return whether an entry may be missing only because the store was disturbed."""
+        if now - self.returned_from_copy_at < PERMIT_GRACE_S:
+            return True
         return self.unavailable_since is not None or now - self.available_since < EXPIRY_GRACE_S
 
     def remove_expired(self, now: float) -> bool:
@@ -166,8 +255,8 @@
 
     def configuration_item(self) -> StoreItem:
         """Return the store's item of the configuration in force."""
-        revision = self.revisions[Subject.CONFIGURATION, ""]
-        return StoreItem(Subject.CONFIGURATION, "", revision, True, self.configuration)
+        position = self.positions[Subject.CONFIGURATION, ""]
+        return StoreItem(Subject.CONFIGURATION, "", position, True, self.configuration)
 
     def apply_withdrawal(self, item: StoreItem, now: float) -> bool:
         """Apply the withdrawal of a failure domain, or the end of its withdrawal."""
@@ -217,7 +306,7 @@
         service_names = self.limits.keys() | {record.service for record in records}
         hosts = tuple(self.host(record) for record in records)
         document = Document(
-            self.revision,
+            self.position.revision,
             tuple(FailureDomain(name, "") for name in sorted({h.failure_domain for h in hosts})),
             hosts,
             tuple(
@@ -257,6 +346,11 @@
         )
 
 
+CONTRADICTION_BY_SUBJECT = {
+    Subject.ENDPOINT: StoreView.endpoint_contradiction,
+    Subject.CONFIGURATION: StoreView.configuration_contradiction,
+    Subject.WITHDRAWAL: StoreView.withdrawal_contradiction,
+}
 APPLY_BY_SUBJECT = {
     Subject.ENDPOINT: StoreView.apply_endpoint,
     Subject.CONFIGURATION: StoreView.apply_configuration,
--- a/src/heatheryoke/daemons/store_watch.py
+++ b/src/heatheryoke/daemons/store_watch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from heatheryoke.core.backoff import Backoff
-from heatheryoke.core.records import StoreItem
+from heatheryoke.core.records import Position, StoreItem
 from heatheryoke.platform.items import UnreadableItemError
 from heatheryoke.platform.store import (
     RevisionCompactedError,
@@ -35,20 +35,29 @@
 WATCH_MARGIN_S = 0.6
 
 
+class EraChangedError(Exception):
+    """The store has returned from an older copy; all items must be read again."""
+
+
 class StoreWatch:
     """Watches all keys of the store and reports what it reads through callbacks.
 
     Each call has a cost. Readers call continuously and send the changes to other processes, which
     call the store only if no such update reaches them in time. `on_change` gets the changed items,
-    the revision after which the changes were made and the revision up to which they are complete.
+    the position after which the changes were made and the position up to which they are complete.
+
+    Load pattern: the store returns from an older copy, and all processes find that out when they
+    call it next. Those that call first read all items and send them on, while the other calls are
+    spread by the backoff of an outage or by the waits for an update. So a return costs few calls
+    more than an outage.
     """
 
     def __init__(
         self,
         client: StoreClient,
         backoff: Backoff,
-        on_read: Callable[[tuple[StoreItem, ...], int], None],
-        on_change: Callable[[tuple[StoreItem, ...], int, int], None],
+        on_read: Callable[[tuple[StoreItem, ...], Position], None],
+        on_change: Callable[[tuple[StoreItem, ...], Position, Position], None],
         on_unavailable: Callable[[str], None],
         on_unreadable: Callable[[UnreadableItemError], None],
         needs_frequent_reads: Callable[[], bool],
@@ -67,7 +76,8 @@
         self.next_call_at = 0.0
         self.is_reader = False
         self.was_postponed = False
-        self.revision: int | None = None
+        self.position: Position | None = None
+        self.era = 0
 
     async def run(self) -> None:
         """Read and watch until cancelled."""
@@ -81,8 +91,8 @@
                 if not self.was_postponed:
                     self.is_reader = True
                     self.next_call_at = started_at + MINIMUM_CALL_INTERVAL_S
-            except RevisionCompactedError:
-                self.revision = None
+            except (RevisionCompactedError, EraChangedError):
+                self.position = None
             except StoreUnavailableError as error:
                 self.is_reader = False
                 self.on_unavailable(str(error))
@@ -90,14 +100,15 @@
             while self.next_call_at > loop.time():
                 await asyncio.sleep(self.next_call_at - loop.time())
 
-    def postpone_call(self, revision: int, sender_precedes: bool) -> None:
-        """Postpone the next call: another process has sent all changes up to a revision.
+    def postpone_call(self, position: Position, sender_precedes: bool) -> None:
+        """Postpone the next call: another process has sent all changes up to a position.
 
         A reader continues to call, unless the sender takes precedence over it (`sender_precedes`).
         """
-        if self.revision is None:
+        self.era = max(self.era, position.era)
+        if self.position is None:
             return
-        self.revision = max(self.revision, revision)
+        self.position = max(self.position, position)
         if self.is_reader and not sender_precedes:
             return
         self.is_reader = False
@@ -107,29 +118,46 @@
         self.next_call_at = asyncio.get_running_loop().time() + wait_s
 
     async def step(self) -> None:
-        """Read all items or watch for changes, and report the result."""
-        if self.revision is None:
+        """Read all items or watch for changes, and report the result.
+
+        Raise `EraChangedError` if the changes are of another era than the revision asked about.
+        """
+        if self.position is None:
             await self.read_all()
             return
-        after = self.revision
+        after = self.position
         wait_s = READER_WAIT_SHARE * self.change_within_s if self.is_reader else 0.0
-        page = await self.client.watch(ALL_KEYS, after, wait_s, WATCH_MARGIN_S)
+        page = await self.client.watch(ALL_KEYS, after.revision, wait_s, WATCH_MARGIN_S)
+        self.check_era(page, after.era)
         self.report_problems(page)
-        self.revision = max(self.revision, page.revision)
-        self.on_change(page.items, after, page.revision)
+        self.position = max(self.position, page.position)
+        self.on_change(page.items, after, page.position)
+
+    def check_era(self, page: StorePage, era: int) -> None:
+        """Check that an answer is of an era, the newest that is known.
+
+        Raise `StoreUnavailableError` if it is older than that, and `EraChangedError` if the era is
+        another. Then revisions may have been given out again, and all items must be read anew.
+        """
+        if page.position.era < self.era:
+            raise StoreUnavailableError(f"answer of era {page.position.era}, not {self.era}")
+        self.era = page.position.era
+        if page.position.era != era:
+            raise EraChangedError
 
     async def read_all(self) -> None:
         """Read all items page by page; the watch then returns the changes since the first page."""
         items: list[StoreItem] = []
-        revision, after, has_more = None, "", True
+        position, after, has_more = None, "", True
         while has_more:
             page = await self.client.read_range(ALL_KEYS, after, TIMEOUT_S)
+            position = position or page.position
+            self.check_era(page, position.era)
             self.report_problems(page)
             items += page.items
-            revision = page.revision if revision is None else revision
             after, has_more = page.last_key, page.has_more
-        self.revision = revision
-        self.on_read(tuple(items), revision)
+        self.position = position
+        self.on_read(tuple(items), position)
 
     def report_problems(self, page: StorePage) -> None:
         """Report the items that could not be read."""
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -36,7 +36,7 @@
 )
 from heatheryoke.core.flows import FlowKey, flow_tuple
 from heatheryoke.core.messages import Forward, Pong
-from heatheryoke.core.records import StoreItem
+from heatheryoke.core.records import Position, StoreItem
 from heatheryoke.core.store_node import StoreNode
 from heatheryoke.daemons.datagrams import Datagram, DatagramSocket
 from heatheryoke.daemons.http_server import HttpServer, Reply
@@ -262,13 +262,15 @@
         self.early_tick = None
         self.step(Tick(self.clock()))
 
-    def on_items_read(self, items: tuple[StoreItem, ...], revision: int) -> None:
+    def on_items_read(self, items: tuple[StoreItem, ...], position: Position) -> None:
         """Process a complete read of the store."""
-        self.step(StoreRead(self.clock(), items, revision))
+        self.step(StoreRead(self.clock(), items, position))
 
-    def on_items_changed(self, items: tuple[StoreItem, ...], after: int, revision: int) -> None:
+    def on_items_changed(
+        self, items: tuple[StoreItem, ...], after: Position, position: Position
+    ) -> None:
         """Process changes of the store."""
-        self.step(StoreChanged(self.clock(), items, after, revision))
+        self.step(StoreChanged(self.clock(), items, after, position))
 
     def on_store_unavailable(self, reason: str) -> None:
         """Process a failed call of the store."""
--- a/src/heatheryoke/daemons/stream_metrics.py
+++ b/src/heatheryoke/daemons/stream_metrics.py
@@ -54,6 +54,7 @@
         node = self.node
         gauges = [
             ("epoch", "Configuration in force.", node.epoch),
+            ("store_era", "Era of the store that the view is of.", node.view.complete_to.era),
             ("newest_peer_epoch", "Newest configuration of any peer.", node.catch_up.newest_epoch),
         ]
         if isinstance(node, StreamAgent):
--- a/src/heatheryoke/measure/stream_world.py
+++ b/src/heatheryoke/measure/stream_world.py
@@ -30,6 +30,7 @@
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
+    Position,
     ServiceRecord,
     StoreItem,
     Subject,
@@ -320,7 +321,7 @@
                 self.add_balancer(Address(f"10.2.{index}.{number}", PEER_PORT), domain)
         domains |= {process.address.ip: process.domain for process in self.processes.values()}
         for process in self.processes.values():
-            process.step(StoreRead(0.0, self.store_items(), 100))
+            process.step(StoreRead(0.0, self.store_items(), Position(0, 100)))
             self.scheduler.after(TICK_S * self.random.random(), process.tick)
 
     @property
@@ -365,11 +366,12 @@
         route = Route("r", SERVICE_ADDRESS, shares, False, site.target_s, site.deadline_s, 1)
         services = (ServiceRecord(SERVICE, 2_000, 0.0, 0.0),)
         configuration = ConfigurationRecord(1, (route,), services, 15.0)
-        items = [StoreItem(Subject.CONFIGURATION, "", 1, True, configuration)]
+        items = [StoreItem(Subject.CONFIGURATION, "", Position(0, 1), True, configuration)]
         for number, agent in enumerate(self.agents):
             app = Address(agent.address.ip, APP_PORT)
             record = EndpointRecord(SERVICE, app, agent.domain, site.slots, False, 0.0, 1)
-            items.append(StoreItem(Subject.ENDPOINT, f"i-{number}", 2 + number, True, record))
+            position = Position(0, 2 + number)
+            items.append(StoreItem(Subject.ENDPOINT, f"i-{number}", position, True, record))
         return tuple(items)
 
     def next_flow(self) -> FlowKey:
--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -9,6 +9,7 @@
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
+    Position,
     ServiceRecord,
     StoreItem,
     Subject,
@@ -47,8 +48,8 @@
     """An item is malformed, or its value does not have the format that its key requires."""
 
 
-def read_item(raw: Any) -> tuple[StoreItem | None, UnreadableItemError | None]:
-    """Return the decoded item or event, and the error if it could not be decoded.
+def read_item(raw: Any, era: int = 0) -> tuple[StoreItem | None, UnreadableItemError | None]:
+    """Return the decoded item or event of an era, and the error if it could not be decoded.
 
     The item is None for a key that is not used and for an unreadable configuration. An unreadable
     upstream is returned without a record, as if its entry had been removed.
@@ -56,20 +57,20 @@
     key, revision = raw.get("key"), raw.get("revision")
     if not _is_name(key) or type(revision) is not int or not 0 <= revision <= MAXIMUM_INT64:
         return None, UnreadableItemError(f"invalid key or revision: {str(raw)[:80]}")
-    is_deleted = bool(raw.get("tombstone"))
+    is_deleted, position = bool(raw.get("tombstone")), Position(era, revision)
     if key.startswith(ENDPOINT_PREFIX):
         name = key.removeprefix(ENDPOINT_PREFIX)
         record, problem = (None, None) if is_deleted else _decode_value(_decode_endpoint, raw)
-        return StoreItem(Subject.ENDPOINT, name, revision, record is not None, record), problem
+        return StoreItem(Subject.ENDPOINT, name, position, record is not None, record), problem
     if key.startswith(WITHDRAWAL_PREFIX):
         name = key.removeprefix(WITHDRAWAL_PREFIX)
-        return StoreItem(Subject.WITHDRAWAL, name, revision, not is_deleted, None), None
+        return StoreItem(Subject.WITHDRAWAL, name, position, not is_deleted, None), None
     if key != CONFIGURATION_KEY or is_deleted:
         return None, None
     record, problem = _decode_value(_decode_configuration, raw)
     if record is None:
         return None, problem
-    return StoreItem(Subject.CONFIGURATION, "", revision, True, record), None
+    return StoreItem(Subject.CONFIGURATION, "", position, True, record), None
 
 
 def _decode_value(decode: Any, raw: dict[str, Any]) -> tuple[Any, UnreadableItemError | None]:
--- a/src/heatheryoke/platform/store.py
+++ b/src/heatheryoke/platform/store.py
@@ -7,15 +7,17 @@
 
 import httptools
 
-from heatheryoke.core.records import StoreItem
+from heatheryoke.core.records import Position, StoreItem
 from heatheryoke.inventory.model import Address
-from heatheryoke.platform.items import UnreadableItemError, read_item
+from heatheryoke.platform.items import MAXIMUM_INT64, UnreadableItemError, read_item
 
 __all__ = ["RevisionCompactedError", "StoreClient", "StorePage", "StoreUnavailableError"]
 
 RANGE_PATH = "/v1/kv-range"
 WATCH_PATH = "/v1/kv-watch"
 READ_CHUNK_BYTES = 65_536
+# Number of times that the store has returned from an older copy; a store may not send it.
+ERA_HEADER = b"store-era"
 STATUS_OK, STATUS_GONE = 200, 410
 
 
@@ -28,11 +30,11 @@
 
 
 class StorePage(NamedTuple):
-    """The result of one call; `revision` is the store's revision when it answered."""
+    """The result of one call; `position` is the store's position when it answered."""
 
     items: tuple[StoreItem, ...]
     problems: tuple[UnreadableItemError, ...]
-    revision: int
+    position: Position
     last_key: str
     has_more: bool
 
@@ -43,6 +45,14 @@
     def __init__(self):
         self.body = bytearray()
         self.is_complete = False
+        self.era = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep the store's era; raise `ValueError` if it is malformed."""
+        if name.lower() == ERA_HEADER:
+            self.era = int(value)
+            if not 0 <= self.era <= MAXIMUM_INT64:
+                raise ValueError(f"era {self.era} is out of range")
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
@@ -65,23 +75,23 @@
     async def read_range(self, prefix: str, after: str, timeout_s: float) -> StorePage:
         """Return one page of the items under a prefix, starting after a key."""
         query = {"prefix": prefix} | ({"after": after} if after else {})
-        return self.decode(await self.call(RANGE_PATH, query, timeout_s), "items")
+        return self.decode(*await self.call(RANGE_PATH, query, timeout_s), "items")
 
     async def watch(self, prefix: str, after: int, wait_s: float, timeout_s: float) -> StorePage:
         """Return the changes under a prefix after a revision, waiting up to `wait_s` for any."""
         query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
-        return self.decode(await self.call(WATCH_PATH, query, wait_s + timeout_s), "events")
+        return self.decode(*await self.call(WATCH_PATH, query, wait_s + timeout_s), "events")
 
-    def decode(self, body: Any, items_field: str) -> StorePage:
+    def decode(self, body: Any, era: int, items_field: str) -> StorePage:
         """Decode a body; raise `StoreUnavailableError` if it is malformed."""
         try:
-            return _decode_page(body, items_field)
+            return _decode_page(body, era, items_field)
         except (LookupError, TypeError, ValueError, AttributeError) as error:
             self.close()
             raise StoreUnavailableError(f"malformed response: {error!r}") from error
 
-    async def call(self, path: str, query: dict[str, Any], timeout_s: float) -> dict[str, Any]:
-        """Return the body of a GET call.
+    async def call(self, path: str, query: dict[str, Any], timeout_s: float) -> tuple[Any, int]:
+        """Return the body of a GET call, and the store's era.
 
         Raise `StoreUnavailableError` or `RevisionCompactedError`.
         """
@@ -96,8 +106,8 @@
             self.close()
             raise StoreUnavailableError(repr(error)) from error
 
-    async def exchange(self, target: str) -> dict[str, Any]:
-        """Send one request and return the body of its response."""
+    async def exchange(self, target: str) -> tuple[Any, int]:
+        """Send one request and return the body and the era of its response."""
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(*self.address)
         request = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
@@ -116,7 +126,7 @@
             raise RevisionCompactedError
         if status != STATUS_OK:
             raise StoreUnavailableError(f"status {status}")
-        return json.loads(bytes(response.body))
+        return json.loads(bytes(response.body)), response.era
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -125,14 +135,15 @@
         self.reader = self.writer = None
 
 
-def _decode_page(body: dict[str, Any], items_field: str) -> StorePage:
+def _decode_page(body: dict[str, Any], era: int, items_field: str) -> StorePage:
     items, problems, last_key = [], [], ""
     for raw in body[items_field]:
-        item, problem = read_item(raw)
+        item, problem = read_item(raw, era)
         if item is not None:
             items.append(item)
         if problem is not None:
             problems.append(problem)
         last_key = str(raw.get("key", ""))
     has_more = bool(body.get("hasMore"))
-    return StorePage(tuple(items), tuple(problems), int(body["currentRev"]), last_key, has_more)
+    position = Position(era, int(body["currentRev"]))
+    return StorePage(tuple(items), tuple(problems), position, last_key, has_more)
--- a/src/heatheryoke/wire/peers.py
+++ b/src/heatheryoke/wire/peers.py
@@ -32,12 +32,14 @@
     Registrations,
     RegistrationsAck,
     Relayed,
+    StoreSnapshot,
     StoreUpdate,
     Yield,
 )
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
+    Position,
     ServiceRecord,
     StoreItem,
     Subject,
@@ -65,6 +67,8 @@
 REGISTRATION = struct.Struct("!13sIB")
 ANSWERED, CLOSED = 1, 2
 STORE_UPDATE = struct.Struct("!QQQ")
+STORE_SNAPSHOT = struct.Struct("!QQQ")
+ERA = struct.Struct("!Q")
 ITEM_HEADER = struct.Struct("!BQB")
 ENDPOINT = struct.Struct("!HHBdQ")
 PRESENT, HAS_RECORD = 1, 2
@@ -126,14 +130,24 @@
 
 
 def _encode_store_update(message: StoreUpdate) -> bytes:
-    header = STORE_UPDATE.pack(message.rank, message.after, message.revision)
+    revisions = message.after.revision, message.position.revision
+    header = STORE_UPDATE.pack(message.rank, *revisions)
+    return header + b"".join(map(_encode_item, message.items))
+
+
+def _encode_update_of_era(message: StoreUpdate) -> bytes:
+    return ERA.pack(message.position.era) + _encode_store_update(message)
+
+
+def _encode_store_snapshot(message: StoreSnapshot) -> bytes:
+    header = STORE_SNAPSHOT.pack(message.rank, *message.position)
     return header + b"".join(map(_encode_item, message.items))
 
 
 def _encode_item(item: StoreItem) -> bytes:
     record = item.record
     flags = (PRESENT if item.present else 0) | (HAS_RECORD if record else 0)
-    header = ITEM_HEADER.pack(SUBJECTS.index(item.subject), item.revision, flags)
+    header = ITEM_HEADER.pack(SUBJECTS.index(item.subject), item.position.revision, flags)
     parts = [header, _encode_name(item.name)]
     if isinstance(record, EndpointRecord):
         parts += [_encode_name(record.service), _encode_name(record.address.ip)]
@@ -146,16 +160,32 @@
     return b"".join(parts)
 
 
-def _decode_store_update(body: bytes) -> StoreUpdate:
+def _decode_store_update(body: bytes, era: int = 0) -> StoreUpdate:
     rank, after, revision = STORE_UPDATE.unpack_from(body)
-    offset, items = STORE_UPDATE.size, []
+    items = _decode_items(body, STORE_UPDATE.size, era)
+    return StoreUpdate(rank, Position(era, after), Position(era, revision), items)
+
+
+def _decode_update_of_era(body: bytes) -> StoreUpdate:
+    (era,) = ERA.unpack_from(body)
+    return _decode_store_update(body[ERA.size :], era)
+
+
+def _decode_store_snapshot(body: bytes) -> StoreSnapshot:
+    rank, era, revision = STORE_SNAPSHOT.unpack_from(body)
+    items = _decode_items(body, STORE_SNAPSHOT.size, era)
+    return StoreSnapshot(rank, Position(era, revision), items)
+
+
+def _decode_items(body: bytes, offset: int, era: int) -> tuple[StoreItem, ...]:
+    items = []
     while offset < len(body):
-        item, offset = _decode_item(body, offset)
+        item, offset = _decode_item(body, offset, era)
         items.append(item)
-    return StoreUpdate(rank, after, revision, tuple(items))
+    return tuple(items)
 
 
-def _decode_item(body: bytes, offset: int) -> tuple[StoreItem, int]:
+def _decode_item(body: bytes, offset: int, era: int = 0) -> tuple[StoreItem, int]:
     subject, revision, flags = ITEM_HEADER.unpack_from(body, offset)
     name, offset = _decode_name(body, offset + ITEM_HEADER.size)
     record = None
@@ -163,7 +193,8 @@
         raise ValueError(f"unknown subject {subject}")
     if flags & HAS_RECORD:
         record, offset = RECORD_DECODERS[SUBJECTS[subject]](body, offset)
-    return StoreItem(SUBJECTS[subject], name, revision, bool(flags & PRESENT), record), offset
+    position = Position(era, revision)
+    return StoreItem(SUBJECTS[subject], name, position, bool(flags & PRESENT), record), offset
 
 
 def _decode_configuration_query(body: bytes) -> ConfigurationQuery:
@@ -304,16 +335,22 @@
     ConfigurationReply: MessageFormat(
         14, lambda m: _encode_item(m.item), _decode_configuration_reply
     ),
+    StoreSnapshot: MessageFormat(16, _encode_store_snapshot, _decode_store_snapshot),
 }
 SEARCH_FORMAT = MessageFormat(12, encode_search, _decode_search)
+# Releases that know no eras drop this kind, and send updates of era 0 only.
+UPDATE_OF_ERA_FORMAT = MessageFormat(15, _encode_update_of_era, _decode_update_of_era)
 DECODERS = {message_format.kind: message_format.decode for message_format in FORMATS.values()}
-DECODERS[SEARCH_FORMAT.kind] = SEARCH_FORMAT.decode
+for special_format in (SEARCH_FORMAT, UPDATE_OF_ERA_FORMAT):
+    DECODERS[special_format.kind] = special_format.decode
 
 
 def format_of(message: Forward | PeerMessage) -> MessageFormat:
     """Return the format of a message."""
     if type(message) is Forward and message.search.asked:
         return SEARCH_FORMAT
+    if type(message) is StoreUpdate and message.position.era:
+        return UPDATE_OF_ERA_FORMAT
     return FORMATS[type(message)]
 
 
--- a/tests/test_configuration_decisions.py
+++ b/tests/test_configuration_decisions.py
@@ -14,6 +14,7 @@
     UpstreamPacket,
 )
 from heatheryoke.core.flows import PacketKind
+from heatheryoke.core.records import Position
 from heatheryoke.core.routes import Route, Share
 from heatheryoke.daemons.json_log import JsonLog
 from heatheryoke.daemons.stream_roles import StreamAgentApplication
@@ -55,7 +56,7 @@
 def change_configuration(node, version, now=NOW, **services):
     """Bring a newer configuration into force."""
     item = configuration(version, 100 + version, routes(**services))
-    return node.reduce(StoreChanged(now, (item,), 90, 100 + version))
+    return node.reduce(StoreChanged(now, (item,), Position(0, 90), Position(0, 100 + version)))
 
 
 class TestOlderBalancer:
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from heatheryoke.core.messages import StoreUpdate
-from heatheryoke.core.records import Subject
+from heatheryoke.core.records import Position, Subject
 from heatheryoke.inventory.model import Address
 from heatheryoke.platform.items import UnreadableItemError, read_item
 from heatheryoke.wire.peers import open_datagram, seal_datagram
@@ -164,7 +164,7 @@
     )
     def test_decoded_item_survives_a_peer_datagram(self, key, field, value, revision):
         decoded, _ = read_item(raw_item(key, ENDPOINT | {field: value}, revision))
-        update = StoreUpdate(1, 1, revision, (decoded,))
+        update = StoreUpdate(1, Position(0, 1), Position(0, revision), (decoded,))
         assert open_datagram(seal_datagram(1, update)).message == update
 
     @given(st.binary(max_size=60))
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -12,6 +12,7 @@
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
+    Position,
     ServiceRecord,
     StoreItem,
     Subject,
@@ -39,7 +40,9 @@
 
 def endpoint(number, revision, **changes):
     record = EndpointRecord("live", address_of(number), "north", 2, False, 0.0, 1_000 + number)
-    return StoreItem(Subject.ENDPOINT, f"i-{number}", revision, True, record._replace(**changes))
+    return StoreItem(
+        Subject.ENDPOINT, f"i-{number}", Position(0, revision), True, record._replace(**changes)
+    )
 
 
 def address_of(number):
@@ -49,7 +52,7 @@
 def configuration(version, revision):
     route = Route("feed", Address("198.18.0.1", 443), (Share("live", 1.0),), True, 0.1, 1.5, 2)
     record = ConfigurationRecord(version, (route,), (ServiceRecord("live", 9, 2.0, 0.0),), 15.0)
-    return StoreItem(Subject.CONFIGURATION, "", revision, True, record)
+    return StoreItem(Subject.CONFIGURATION, "", Position(0, revision), True, record)
 
 
 FIRST = (configuration(1, 5), *(endpoint(number, number) for number in (1, 2, 3)))
@@ -59,7 +62,7 @@
     node = StreamAgent(
         address_of(number).ip, rank, NOW, PacketCodec(), "live", address_of(number), peer_port=PORT
     )
-    node.reduce(StoreRead(NOW, FIRST, 5))
+    node.reduce(StoreRead(NOW, FIRST, Position(0, 5)))
     return node
 
 
@@ -103,7 +106,9 @@
             elif kind == "configured":
                 item = configuration(draw(st.integers(1, 9)), revision)
             elif kind in ("withdrawn", "returned"):
-                item = StoreItem(Subject.WITHDRAWAL, "north", revision, kind == "withdrawn", None)
+                item = StoreItem(
+                    Subject.WITHDRAWAL, "north", Position(0, revision), kind == "withdrawn", None
+                )
             batch.append(item)
         batches.append(tuple(batch))
     return batches
@@ -114,18 +119,18 @@
     def test_receivers_have_the_same_view_as_the_reader(self, batches):
         reader, listener = StoreView(PORT), StoreView(PORT)
         for view in (reader, listener):
-            view.replace(FIRST, 5, NOW)
-            view.note_complete(5)
+            view.replace(FIRST, Position(0, 5), NOW)
+            view.note_complete(Position(0, 5))
         for number, batch in enumerate(batches):
             now, after = NOW + number, reader.complete_to
-            revision = batch[-1].revision if batch else after
+            revision = batch[-1].position if batch else after
             update = make_store_update(reader, 7, after, revision, batch)
             reader.apply(batch, now)
             reader.note_complete(revision)
             arrived = open_datagram(seal_datagram(1, update)).message
             assert arrived == update
             listener.apply(arrived.items, now)
-            listener.note_complete(arrived.revision)
+            listener.note_complete(arrived.position)
         assert listener.endpoints == reader.endpoints
         assert listener.configuration == reader.configuration
         assert listener.withdrawn == reader.withdrawn
@@ -134,17 +139,20 @@
 
     def test_a_configuration_is_sent(self):
         items = (configuration(2, 6), endpoint(1, 7))
-        update = make_store_update(StoreView(PORT), 7, 5, 7, items)
+        update = make_store_update(StoreView(PORT), 7, Position(0, 5), Position(0, 7), items)
         assert open_datagram(seal_datagram(1, update)).message.items == items
 
     def test_too_many_changes_are_not_sent(self):
         items = tuple(endpoint(number, number + 9) for number in range(MAXIMUM_ITEMS + 1))
-        assert make_store_update(StoreView(PORT), 7, 5, 99, items) is None
+        assert make_store_update(StoreView(PORT), 7, Position(0, 5), Position(0, 99), items) is None
 
     def test_a_heartbeat_is_not_a_change(self):
         view = StoreView(PORT)
-        view.replace(FIRST, 5, NOW)
-        assert make_store_update(view, 7, 5, 9, (endpoint(1, 9),)).items == ()
+        view.replace(FIRST, Position(0, 5), NOW)
+        assert (
+            make_store_update(view, 7, Position(0, 5), Position(0, 9), (endpoint(1, 9),)).items
+            == ()
+        )
 
 
 def large_configuration(routes):
@@ -163,27 +171,33 @@
 
     @pytest.mark.parametrize(
         "change",
-        [StoreItem(Subject.WITHDRAWAL, "north", 6, True, None), endpoint(4, 6)],
+        [StoreItem(Subject.WITHDRAWAL, "north", Position(0, 6), True, None), endpoint(4, 6)],
         ids=["withdrawal", "new upstream"],
     )
     def test_what_a_peer_has_sent_meanwhile_stays(self, change):
         node = agent(1, rank=1)
-        update = StoreUpdate(2, 5, 6, (change,))
+        update = StoreUpdate(2, Position(0, 5), Position(0, 6), (change,))
         node.reduce(PeerMessageArrived(NOW, BALANCER, 1, update))
-        node.reduce(StoreRead(NOW, FIRST, 5))
+        node.reduce(StoreRead(NOW, FIRST, Position(0, 5)))
         assert change.name in (*node.view.withdrawn, *node.view.endpoints)
 
     def test_it_is_logged(self):
         node = agent(1, rank=1)
-        node.reduce(PeerMessageArrived(NOW, BALANCER, 1, StoreUpdate(2, 5, 6, ())))
-        logged = [row for row in node.reduce(StoreRead(NOW, FIRST, 5)) if type(row) is LogChange]
-        reason = "revision 5, the view is complete to 6"
+        node.reduce(
+            PeerMessageArrived(NOW, BALANCER, 1, StoreUpdate(2, Position(0, 5), Position(0, 6), ()))
+        )
+        logged = [
+            row
+            for row in node.reduce(StoreRead(NOW, FIRST, Position(0, 5)))
+            if type(row) is LogChange
+        ]
+        reason = "revision 5, the view is complete to revision 6"
         assert LogChange("store", "older", reason) in logged
-        assert node.reduce(StoreRead(NOW, FIRST, 6)) == []
+        assert node.reduce(StoreRead(NOW, FIRST, Position(0, 6))) == []
 
     def test_what_was_removed_before_it_is_removed(self):
         node = agent(1, rank=1)
-        node.reduce(StoreRead(NOW, FIRST[:-1], 9))
+        node.reduce(StoreRead(NOW, FIRST[:-1], Position(0, 9)))
         assert "i-3" not in node.view.endpoints
 
 
@@ -202,13 +216,13 @@
     def test_a_change_is_not_missed_for_good(self, change):
         first, second, listener = (StoreView(PORT) for _ in range(3))
         for view in (first, second, listener):
-            view.replace(FIRST, 5, NOW)
-            view.note_complete(5)
-        lost = make_store_update(first, 1, 5, 6, (change,))
+            view.replace(FIRST, Position(0, 5), NOW)
+            view.note_complete(Position(0, 5))
+        lost = make_store_update(first, 1, Position(0, 5), Position(0, 6), (change,))
         second.apply(lost.items, NOW)
-        second.note_complete(6)
+        second.note_complete(Position(0, 6))
         items = (change, endpoint(2, 7, is_draining=True))
-        update = make_store_update(second, 2, 5, 7, items)
+        update = make_store_update(second, 2, Position(0, 5), Position(0, 7), items)
         listener.apply(update.items, NOW)
         second.apply(items, NOW)
         assert listener.topology().hosts == second.topology().hosts
@@ -219,7 +233,9 @@
     """Load pattern: the configuration changes, and hundreds of processes need all of it."""
 
     def datagrams(self, routes):
-        update = make_store_update(StoreView(PORT), 7, 5, 6, (large_configuration(routes),))
+        update = make_store_update(
+            StoreView(PORT), 7, Position(0, 5), Position(0, 6), (large_configuration(routes),)
+        )
         return update, split_message(seal_datagram(1, update))
 
     def test_a_configuration_of_hundreds_of_routes_takes_few_datagrams(self):
@@ -259,21 +275,23 @@
 class TestSendingChanges:
     def test_a_reader_sends_changes_to_every_agent_and_known_balancer(self):
         node = agent(1, 7)
-        empty_update = StoreUpdate(1 << 32, 5, 5, ())
+        empty_update = StoreUpdate(1 << 32, Position(0, 5), Position(0, 5), ())
         node.reduce(PeerMessageArrived(NOW, BALANCER, 1, empty_update))
-        sent = store_updates_sent(node.reduce(StoreChanged(NOW, (), 5, 5)))
+        sent = store_updates_sent(
+            node.reduce(StoreChanged(NOW, (), Position(0, 5), Position(0, 5)))
+        )
         agents = {Address(address_of(number).ip, PORT) for number in (2, 3)}
         assert {effect.to for effect in sent} == {*agents, BALANCER}
 
     def test_received_changes_are_not_relayed(self):
-        update = StoreUpdate(7, 5, 6, (endpoint(2, 6, is_draining=True),))
+        update = StoreUpdate(7, Position(0, 5), Position(0, 6), (endpoint(2, 6, is_draining=True),))
         effects = agent(1, 9).reduce(PeerMessageArrived(NOW, BALANCER, 1, update))
-        assert PostponeStoreRead(6, True) in effects
+        assert PostponeStoreRead(Position(0, 6), True) in effects
         assert store_updates_sent(effects) == []
 
     def test_changes_after_a_gap_are_refused(self):
         node = agent(1, 9)
-        update = StoreUpdate(7, 8, 9, (endpoint(2, 9, is_draining=True),))
+        update = StoreUpdate(7, Position(0, 8), Position(0, 9), (endpoint(2, 9, is_draining=True),))
         effects = node.reduce(PeerMessageArrived(NOW, BALANCER, 1, update))
         assert not any(isinstance(effect, PostponeStoreRead) for effect in effects)
         assert not node.view.endpoints["i-2"].is_draining
@@ -281,8 +299,14 @@
     def test_an_update_older_than_the_view_postpones_no_read(self):
         """Updates that arrive late would put off a process's reads for as long as they come."""
         node = agent(1, 9)
-        node.reduce(PeerMessageArrived(NOW, BALANCER, 1, StoreUpdate(7, 5, 9, ())))
-        effects = node.reduce(PeerMessageArrived(NOW + 1.0, BALANCER, 1, StoreUpdate(7, 5, 8, ())))
+        node.reduce(
+            PeerMessageArrived(NOW, BALANCER, 1, StoreUpdate(7, Position(0, 5), Position(0, 9), ()))
+        )
+        effects = node.reduce(
+            PeerMessageArrived(
+                NOW + 1.0, BALANCER, 1, StoreUpdate(7, Position(0, 5), Position(0, 8), ())
+            )
+        )
         assert not any(isinstance(effect, PostponeStoreRead) for effect in effects)
         assert node.view.last_answer_at == NOW
 
@@ -305,7 +329,7 @@
         await asyncio.sleep(min(wait_s, 0.02))
         return self
 
-    items, problems, revision, last_key, has_more = (), (), 5, "", False
+    items, problems, position, last_key, has_more = (), (), Position(0, 5), "", False
 
 
 def play(steps, within_s=3.0):
@@ -339,7 +363,7 @@
         async def steps(watch):
             await asyncio.sleep(0.05)
             for _ in range(12):
-                watch.postpone_call(5, True)
+                watch.postpone_call(Position(0, 5), True)
                 await asyncio.sleep(0.1)
 
         assert len(play(steps)) <= 1
@@ -347,7 +371,7 @@
     def test_becomes_the_reader_after_a_time_without_messages(self):
         async def steps(watch):
             await asyncio.sleep(0.05)
-            watch.postpone_call(5, True)
+            watch.postpone_call(Position(0, 5), True)
             await asyncio.sleep(0.6 + 2 * MINIMUM_CALL_INTERVAL_S)
 
         first, second, *_ = play(steps, within_s=1.0)
@@ -358,6 +382,6 @@
         async def steps(watch):
             for _ in range(10):
                 await asyncio.sleep(0.1)
-                watch.postpone_call(5, False)
+                watch.postpone_call(Position(0, 5), False)
 
         assert len(play(steps)) >= 3
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -46,6 +46,7 @@
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
+    Position,
     ServiceRecord,
     StoreItem,
     Subject,
@@ -118,7 +119,9 @@
         0.0,
         1_000 + number,
     )
-    return StoreItem(Subject.ENDPOINT, f"i-{number}", number, True, record._replace(**changes))
+    return StoreItem(
+        Subject.ENDPOINT, f"i-{number}", Position(0, number), True, record._replace(**changes)
+    )
 
 
 def configuration(version=3, revision=90, routes=None):
@@ -128,11 +131,11 @@
     )
     services = (ServiceRecord("live", 2_000, 2.0, 0.0), ServiceRecord("print", 2_000, 2.0, 0.0))
     record = ConfigurationRecord(version, routes, services, 15.0)
-    return StoreItem(Subject.CONFIGURATION, "", revision, True, record)
+    return StoreItem(Subject.CONFIGURATION, "", Position(0, revision), True, record)
 
 
 def withdrawal(domain, revision, present=True):
-    return StoreItem(Subject.WITHDRAWAL, domain, revision, present, None)
+    return StoreItem(Subject.WITHDRAWAL, domain, Position(0, revision), present, None)
 
 
 ITEMS = (configuration(), *(endpoint(number) for number in range(1, 6)))
@@ -428,7 +431,9 @@
 
     def test_no_reset_after_an_upstream_vanished_or_the_store_was_lost(self):
         vanished, disconnected = make_agent(), make_agent()
-        vanished.reduce(StoreChanged(NOW + 6.0, (endpoint(5)._replace(revision=95, record=None),)))
+        vanished.reduce(
+            StoreChanged(NOW + 6.0, (endpoint(5)._replace(position=Position(0, 95), record=None),))
+        )
         disconnected.reduce(PlatformUnavailable(NOW + 6.0, "timeout"))
         for agent in (vanished, disconnected):
             assert not of_kind(self.ask_last_host(agent, NOW + 7.0), AnswerCaller)
@@ -448,7 +453,7 @@
         agent = make_agent(items=(*ITEMS, endpoint(9, is_draining=True)))
         peer = Address("10.1.0.9", PORT)
         agent.reduce(PeerMessageArrived(NOW, peer, 3, RecoveryRequest("10.1.0.9", 1, 0)))
-        gone = endpoint(9)._replace(revision=96, present=False, record=None)
+        gone = endpoint(9)._replace(position=Position(0, 96), present=False, record=None)
         agent.reduce(StoreChanged(NOW + 0.4, (gone,)))
         effects = self.ask_last_host(agent, NOW + 0.5, uptime_s=1.0)
         assert not of_kind(effects, SendForward)
@@ -613,10 +618,10 @@
     @pytest.mark.parametrize(
         "change",
         [
-            endpoint(1, is_draining=True)._replace(revision=95),
+            endpoint(1, is_draining=True)._replace(position=Position(0, 95)),
             withdrawal("south", 95),
-            endpoint(1, service="print")._replace(revision=95),
-            StoreItem(Subject.ENDPOINT, "i-1", 95, False, None),
+            endpoint(1, service="print")._replace(position=Position(0, 95)),
+            StoreItem(Subject.ENDPOINT, "i-1", Position(0, 95), False, None),
         ],
         ids=["draining", "withdrawn", "another service", "gone"],
     )
@@ -691,7 +696,7 @@
     def test_a_heartbeat_changes_no_topology(self):
         agent = make_agent()
         before = agent.topology
-        heartbeat = endpoint(2, cold_s=1.0)._replace(revision=95)
+        heartbeat = endpoint(2, cold_s=1.0)._replace(position=Position(0, 95))
         agent.reduce(StoreChanged(NOW, (heartbeat,)))
         assert agent.topology is before
 
@@ -702,7 +707,9 @@
 
     def test_host_of_a_draining_upstream_is_not_a_home(self):
         agent = make_agent()
-        agent.reduce(StoreChanged(NOW, (endpoint(2, is_draining=True)._replace(revision=95),)))
+        agent.reduce(
+            StoreChanged(NOW, (endpoint(2, is_draining=True)._replace(position=Position(0, 95)),))
+        )
         homes = {host.name for port in range(300) for host in agent.topology.homes(flow_of(port))}
         assert homes == {f"10.1.0.{number}" for number in (1, 3, 4, 5)}
 
@@ -732,11 +739,14 @@
 
     def test_lists_hosts_that_are_added_changed_and_removed(self):
         agent = make_agent()
-        draining = endpoint(2, is_draining=True)._replace(revision=95)
+        draining = endpoint(2, is_draining=True)._replace(position=Position(0, 95))
         assert self.logged(agent, (draining,)) == "10.1.0.2=leaving"
-        gone = endpoint(2)._replace(revision=96, present=False, record=None)
+        gone = endpoint(2)._replace(position=Position(0, 96), present=False, record=None)
         assert self.logged(agent, (gone,)) == "10.1.0.2=removed"
-        assert self.logged(agent, (endpoint(2)._replace(revision=97),)) == "10.1.0.2=active"
+        assert (
+            self.logged(agent, (endpoint(2)._replace(position=Position(0, 97)),))
+            == "10.1.0.2=active"
+        )
 
 
 class TestRoom:
--- a/tests/test_upstream_condition.py
+++ b/tests/test_upstream_condition.py
@@ -12,6 +12,7 @@
 from heatheryoke.core.events import StoreChanged, Tick, UpstreamPacket
 from heatheryoke.core.messages import Visit
 from heatheryoke.core.placement import MAXIMUM_VISITS, MORE_VISITS, LeastOfVisited
+from heatheryoke.core.records import Position
 from heatheryoke.core.room_shares import RoomShares
 from heatheryoke.core.upstream_condition import (
     IMPAIRED_LOAD,
@@ -390,7 +391,11 @@
         """Guards against an upstream that pays for what the former one at its address did."""
         agent = make_judging_agent()
         fail_requests(agent, RST)
-        agent.reduce(StoreChanged(NOW + 0.1, (endpoint(1, born_ms=9_999)._replace(revision=95),)))
+        agent.reduce(
+            StoreChanged(
+                NOW + 0.1, (endpoint(1, born_ms=9_999)._replace(position=Position(0, 95)),)
+            )
+        )
         assert self.state(agent) is Condition.GOOD
 
     def test_a_close_that_overtakes_the_answer_is_no_failure(self):
