Soak: the store returns from an older copy

Change: a fault that takes the store away for up to 1.5 s and brings it back, up to twice, from a copy of 0.2 to 5 s; the operator's items are written again after up to 2 s, the upstreams' by their heartbeats, and the leases of those that have left end after three of them. What the first return lost is written again, also after a second one (test of the stand-in).

--- a/src/heatheryoke/standins/soak_faults.py
+++ b/src/heatheryoke/standins/soak_faults.py
@@ -11,7 +11,7 @@
 from heatheryoke.inventory.model import Role
 from heatheryoke.standins.process_site import ProcessStreamSite
 from heatheryoke.standins.route_checker import RouteChecker
-from heatheryoke.standins.stream_site import SHEETS, StreamHost
+from heatheryoke.standins.stream_site import HEARTBEAT_S, SHEETS, StreamHost
 from heatheryoke.standins.stream_upstream import Sickness
 
 __all__ = ["FAULTS", "Fault", "FaultTarget"]
@@ -26,6 +26,13 @@
 # Signals sent to a process before it is stopped, and the pauses between them.
 SIGNALS_BEFORE_STOP = (0, 4)
 SIGNAL_GAP_S = (0.0, 0.4)
+# Age of the copy that the store returns from, how long it is away before, and how long its writers
+# take until they write again what was lost.
+COPY_AGE_S = (0.2, 5.0)
+AWAY_S = (0.0, 1.5)
+REWRITE_DELAY_S = (0.0, 2.0)
+OPERATOR_KEYS = "op/"
+UPSTREAM_KEYS = "servers/"
 HARMLESS_SIGNALS = (signal.SIGHUP, signal.SIGSTOP)
 SICKNESSES = tuple(sickness for sickness in Sickness if sickness is not Sickness.NONE)
 
@@ -211,6 +218,24 @@
     target.site.store.compact()
 
 
+async def return_store_from_copy(target: FaultTarget) -> None:
+    """Let the store return from an older copy, up to twice; its writers write again what was lost.
+
+    The store's lease of an upstream that has left ends after three heartbeats.
+    """
+    store = target.site.store
+    for _ in range(target.random.randint(1, 2)):
+        store.is_down = True
+        store.wake_watches()
+        await target.wait_random(AWAY_S)
+        store.return_from_copy(target.random.uniform(*COPY_AGE_S))
+        store.is_down = False
+        await target.wait_random(REWRITE_DELAY_S)
+    store.write_again(OPERATOR_KEYS)
+    await asyncio.sleep(3 * HEARTBEAT_S)
+    store.write_again(UPSTREAM_KEYS)
+
+
 FAULTS: dict[str, Fault] = {
     "balancer killed": Fault(False, lambda t: restart(t, Role.BALANCER, signal.SIGKILL)),
     "balancer stopped": Fault(True, lambda t: restart(t, Role.BALANCER, signal.SIGTERM)),
@@ -233,4 +258,5 @@
     "store silent": Fault(False, lambda t: set_store_fault(t, "delay_s", 60.0, 0.0)),
     "store rejects some": Fault(False, reject_some_hosts),
     "store compacted": Fault(True, compact_store),
+    "store returned": Fault(False, return_store_from_copy),
 }
--- a/src/heatheryoke/standins/stream_store.py
+++ b/src/heatheryoke/standins/stream_store.py
@@ -37,7 +37,7 @@
 
     def __init__(self):
         self.era = 1
-        self.written_in_era: set[str] = set()
+        self.lost: dict[str, dict[str, Any] | None] = {}
         self.revision = 1
         self.copies: deque[StoreCopy] = deque(maxlen=KEPT_COPIES)
         self.items: dict[str, dict[str, Any]] = {}
@@ -91,7 +91,7 @@
     def append_event(self, event: dict[str, Any]) -> None:
         """Append an event to the history, keep a copy of the items, and wake the watches."""
         self.events.append(event)
-        self.written_in_era.add(event["key"])
+        self.lost.pop(event["key"], None)
         self.copies.append(StoreCopy(time.monotonic(), self.revision, dict(self.items)))
         if len(self.events) > HISTORY_EVENTS:
             self.compact(HISTORY_EVENTS // 2)
@@ -105,34 +105,31 @@
         self.events = self.events[len(dropped) :]
         self.wake_watches()
 
-    def return_from_copy(self, age_s: float) -> dict[str, dict[str, Any] | None]:
+    def return_from_copy(self, age_s: float) -> None:
         """Go back to a copy at least `age_s` old, or the oldest, in a new era.
 
-        Return the items that the copy lacks or has otherwise, None for one that had been removed.
+        Keep in `lost` the items that the copy lacks or has otherwise, None for one that had been
+        removed, until they are written again.
         """
         before, taken_by = self.items, time.monotonic() - age_s
         older = [copy for copy in self.copies if copy.at <= taken_by]
         copy = older[-1] if older else self.copies[0]
         self.era += 1
-        self.written_in_era.clear()
         self.revision, self.items = copy.revision, dict(copy.items)
         self.events = [event for event in self.events if event["revision"] <= copy.revision]
+        self.last_dropped = min(self.last_dropped, copy.revision)
         self.copies = deque((row for row in older or [copy]), maxlen=KEPT_COPIES)
+        for key in before.keys() | copy.items.keys():
+            if before.get(key) != copy.items.get(key):
+                self.lost.setdefault(key, before.get(key))
         self.wake_watches()
-        return {
-            key: before.get(key)
-            for key in before.keys() | copy.items.keys()
-            if before.get(key) != copy.items.get(key)
-        }
-
-    def write_again(self, lost: dict[str, dict[str, Any] | None], prefix: str) -> None:
-        """Write the lost items under a prefix again, unless they have been written since."""
-        for key, item in lost.items():
-            if not key.startswith(prefix) or key in self.written_in_era:
-                continue
-            if item is None:
+
+    def write_again(self, prefix: str) -> None:
+        """Write the lost items under a prefix again, and remove those that had been removed."""
+        for key, item in list(self.lost.items()):
+            if key.startswith(prefix) and item is None:
                 self.delete(key)
-            else:
+            elif key.startswith(prefix):
                 self.put(key, base64.b64decode(item["value"]))
 
     async def add_era(self, request: web.Request, response: web.StreamResponse) -> None:
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -1,6 +1,7 @@
 """The store watch recovers from refused, unanswered and malformed calls and from lost history."""
 
 import asyncio
+import base64
 import json
 
 import pytest
@@ -160,3 +161,20 @@
     def test_spreads_the_calls_of_a_fleet(self):
         waits = {Backoff(lambda draw=draw: draw / 10).fail() for draw in range(10)}
         assert len(waits) == 10 and max(waits) / min(waits) > 1.8
+
+
+class TestReturnedStore:
+    def test_what_was_lost_first_is_written_again_after_two_returns(self):
+        """The stand-in's operator would write an older configuration than the last one."""
+
+        async def steps(store, recorder):
+            for number in range(4):
+                store.put("op/config", {"version": number})
+            for _ in range(2):
+                store.return_from_copy(age_s=60.0)
+            assert (store.era, store.revision) == (3, 2)
+            store.write_again("op/")
+            value = json.loads(base64.b64decode(store.items["op/config"]["value"]))
+            assert value == {"version": 3} and store.lost == {}
+
+        run_with_store(steps)
