--- a/src/heatheryoke/measure/stream_scenarios.py
+++ b/src/heatheryoke/measure/stream_scenarios.py
@@ -1,4 +1,4 @@
-"""Scenarios of byte streams: failure domains that are cut off, hosts that stop, sick upstreams."""
+"""Scenarios of byte streams: cuts, hosts that stop, sick upstreams, a store that returns."""
 
 from collections.abc import Callable
 from math import inf
@@ -17,7 +17,7 @@
 )
 
 __all__ = ["CUT_SCENARIOS", "SICK_UPSTREAM_SCENARIOS", "STREAM_POLICIES", "STREAM_SCENARIOS"]
-__all__ += ["StreamFigures", "run_stream_scenario"]
+__all__ += ["STORE_SCENARIOS", "StreamFigures", "run_stream_scenario"]
 
 # Times of the fault and of its end, and of the last request; before the fault is the warm-up.
 FAULT_AT_S = 5.0
@@ -26,6 +26,10 @@
 END_S = 18.0
 # Time within which a fault is found, and the bound that the figures are split at.
 FOUND_WITHIN_S = 0.6
+# After the changes of the store: when it returns from a copy without them, and when they are
+# written again.
+RETURN_AFTER_S = 1.5
+REWRITE_AFTER_S = 4.5
 # Time that flapping upstreams are silent, and the time until they are again.
 FLAP_S = 1.0
 
@@ -64,6 +68,13 @@
         world.scheduler.after(FLAP_S, lambda: _flap(world))
 
 
+def _return_store(world: StreamWorld) -> None:
+    """Write changes that the store loses soon after by its return from a copy."""
+    world.store.write_changes()
+    world.scheduler.after(RETURN_AFTER_S, world.store.return_from_copy)
+    world.scheduler.after(REWRITE_AFTER_S, world.store.write_changes)
+
+
 def _sick_upstreams(title: str, fault: UpstreamFault) -> StreamScenario:
     """Return a scenario in which every seventh upstream has a fault."""
     return StreamScenario(
@@ -99,11 +110,24 @@
     ),
 }
 
-STREAM_SCENARIOS = CUT_SCENARIOS | SICK_UPSTREAM_SCENARIOS
+STORE_SCENARIOS = {
+    "store-changes": StreamScenario(
+        "a new configuration, and a sixth of the upstreams drains",
+        lambda world: world.store.write_changes(),
+    ),
+    "store-returns": StreamScenario(
+        "the store loses these changes by its return from an older copy", _return_store
+    ),
+}
+
+STREAM_SCENARIOS = CUT_SCENARIOS | SICK_UPSTREAM_SCENARIOS | STORE_SCENARIOS
 
 
 class StreamFigures(NamedTuple):
-    """Shares of requests that met their target, by when they started, and what went wrong."""
+    """Shares of requests that met their target, by when they started, and what went wrong.
+
+    `versions` are the versions in force at the end; there must be one.
+    """
 
     scenario: str
     policy: str
@@ -115,6 +139,8 @@
     in_time_after: float
     unserved: int
     run_twice: int
+    opened_while_draining: int
+    versions: str
     control_messages_per_s: float
 
 
@@ -146,5 +172,9 @@
         round(world.served_share(FAULT_END_S, LOAD_END_S), 3),
         sum(outcome.latency_s == inf for outcome in world.outcomes),
         sum(count > 1 for count in runs.values()),
+        world.store.late_openings(),
+        ",".join(
+            str(version) for version in sorted({p.node.epoch for p in world.processes.values()})
+        ),
         round(sent / len(world.processes) / END_S, 1),
     )
--- a/src/heatheryoke/measure/stream_world.py
+++ b/src/heatheryoke/measure/stream_world.py
@@ -43,6 +43,7 @@
 from heatheryoke.inventory.model import Address
 from heatheryoke.measure.network import Network
 from heatheryoke.measure.scheduler import Scheduler
+from heatheryoke.measure.store_model import StoreModel
 from heatheryoke.platform.packets import ACK, BOUNCED, FIN, RST, SYN, PacketCodec
 from heatheryoke.standins.stream_packets import build_packet
 
@@ -119,6 +120,7 @@
         self.busy = 0
         self.queue: list[FlowKey] = []
         self.runs: Counter[FlowKey] = Counter()
+        self.opened_at: list[float] = []
         self.fault = NO_FAULT
 
     def fails(self) -> bool:
@@ -131,6 +133,8 @@
         if self.fault.refuses:
             return
         if head.opens:
+            if flow not in self.sequences:
+                self.opened_at.append(self.world.now)
             sequence = self.sequences.setdefault(flow, self.world.random.getrandbits(31))
             self.answer(flow, SYN | ACK, sequence)
         elif flow not in self.sequences:
@@ -319,9 +323,10 @@
                 self.add_agent(Address(f"10.1.{index}.{number}", PEER_PORT), domain)
             for number in range(site.balancers_per_domain):
                 self.add_balancer(Address(f"10.2.{index}.{number}", PEER_PORT), domain)
+        self.store = StoreModel(self)
         domains |= {process.address.ip: process.domain for process in self.processes.values()}
         for process in self.processes.values():
-            process.step(StoreRead(0.0, self.store_items(), Position(0, 100)))
+            process.step(StoreRead(0.0, self.store_items(), self.store.position))
             self.scheduler.after(TICK_S * self.random.random(), process.tick)
 
     @property
@@ -366,11 +371,11 @@
         route = Route("r", SERVICE_ADDRESS, shares, False, site.target_s, site.deadline_s, 1)
         services = (ServiceRecord(SERVICE, 2_000, 0.0, 0.0),)
         configuration = ConfigurationRecord(1, (route,), services, 15.0)
-        items = [StoreItem(Subject.CONFIGURATION, "", Position(0, 1), True, configuration)]
+        items = [StoreItem(Subject.CONFIGURATION, "", Position(1, 1), True, configuration)]
         for number, agent in enumerate(self.agents):
             app = Address(agent.address.ip, APP_PORT)
             record = EndpointRecord(SERVICE, app, agent.domain, site.slots, False, 0.0, 1)
-            position = Position(0, 2 + number)
+            position = Position(1, 2 + number)
             items.append(StoreItem(Subject.ENDPOINT, f"i-{number}", position, True, record))
         return tuple(items)
 
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -21,6 +21,7 @@
 from heatheryoke.core.store_return import RESTRICT_GRACE_S
 from heatheryoke.core.stream_agent import StreamAgent
 from heatheryoke.inventory.model import Address
+from heatheryoke.measure.stream_scenarios import run_stream_scenario
 from heatheryoke.platform.packets import PacketCodec
 from heatheryoke.wire.peers import open_datagram, seal_datagram
 from tests.test_store_updates import NOW, PORT, address_of, configuration, endpoint
@@ -56,6 +57,14 @@
         else:
             self.items.pop(key, None)
 
+    def records(self):
+        """Return the records of all upstreams by name."""
+        return {
+            name: item.record
+            for (subject, name), item in self.items.items()
+            if subject is Subject.ENDPOINT
+        }
+
     def return_from_copy(self, back):
         """Return from the copy taken so many changes ago; remember what it lacks."""
         removed = {(event.subject, event.name) for event in self.events} - self.items.keys()
@@ -241,6 +250,25 @@
             assert all(view.positions[key] >= held for key, held in positions.items())
             self.shown[number] = node.epoch, view.complete_to, dict(view.positions)
 
+    @invariant()
+    def a_complete_view_equals_the_store(self):
+        """A view that claims every change up to the store's present position has each of them."""
+        stored = getattr(self, "store", None)
+        for node in getattr(self, "nodes", {}).values():
+            view = node.view
+            if view.complete_to == stored.position:
+                upstreams = self.without_deferred(view, view.endpoints)
+                assert upstreams == self.without_deferred(view, stored.records())
+
+    @staticmethod
+    def without_deferred(view, records):
+        """Return records by name without those of which the view defers an item."""
+        return {
+            name: record
+            for name, record in records.items()
+            if (Subject.ENDPOINT, name) not in view.deferred.by_key
+        }
+
     def teardown(self):
         """Let the writers write again and every process read; then all views equal the store."""
         if not hasattr(self, "nodes"):
@@ -256,15 +284,22 @@
         self.nothing_goes_back()
         stored = self.store.items
         for node in self.nodes.values():
-            held = {(Subject.ENDPOINT, name): row for name, row in node.view.endpoints.items()}
-            upstreams = {key: row.record for key, row in stored.items() if key in held}
-            assert held == upstreams
-            assert len(held) == sum(key[0] is Subject.ENDPOINT for key in stored)
+            assert node.view.endpoints == self.store.records()
             assert ("north" in node.view.withdrawn) == (WITHDRAWAL in stored)
             assert node.epoch == stored[CONFIGURATION].record.version
             assert not node.view.expired and not node.view.deferred
 
 
+class TestModel:
+    def test_a_return_costs_no_service_and_no_drained_upstream_gets_new_flows(self):
+        """Guards against processes that take the copy for the present."""
+        plain = run_stream_scenario("store-changes", "heatheryoke", 1)
+        returned = run_stream_scenario("store-returns", "heatheryoke", 1)
+        assert (returned.opened_while_draining, returned.versions) == (0, "2")
+        assert returned.in_time_after >= plain.in_time_after - 0.01
+        assert returned.run_twice == 0
+
+
 class TestReturns:
     def test_views_follow_the_store_in_any_order_of_events(self):
         bounds = settings(max_examples=EXAMPLES, stateful_step_count=STEPS)
