A view is not settled soon after a return of the store

Cause: a search concludes that nobody owns a flow, and the flow is reset, only if the view has been undisturbed for 6 s. A return from a copy, which may lack upstreams that hold flows, did not count as a disturbance. Found by reading; the test failed before. Change: it counts.

--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -90,7 +90,12 @@
 
     def is_settled(self, now: float) -> bool:
         """Return whether the store was undisturbed long enough to list every live upstream."""
-        undisturbed_since = max(self.first_read_at, self.available_since, self.last_removed_at)
+        undisturbed_since = max(
+            self.first_read_at,
+            self.available_since,
+            self.last_removed_at,
+            self.returned_from_copy_at,
+        )
         return self.unavailable_since is None and now - undisturbed_since > SETTLED_S
 
     def note_complete(self, position: Position) -> None:
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -221,6 +221,15 @@
         pass_time(node, NOW + PERMIT_GRACE_S + 0.1)
         assert address_of(3).ip not in node.topology.hosts
 
+    def test_a_view_is_not_settled_soon_after_a_return(self):
+        """A flow of an upstream that the copy lacks would be taken for lost and reset."""
+        node = make_agent()
+        pass_time(node, NOW + 60.0)
+        assert node.view.is_settled(NOW + 60.0)
+        return_from_copy(node, NOW + 61.0)
+        pass_time(node, NOW + 66.0)
+        assert not node.view.is_settled(NOW + 66.0)
+
     def test_a_new_incarnation_under_the_same_id_is_accepted(self):
         node = make_agent()
         change(node, removed(3, 90))
