Remember no departure of an upstream whose entry has only expired, or that is there again

Cause: an entry's removal counted as a departure also while it may have been an expiry in an outage, and its next entry did not take that back. Change: a departure counts once the upstream is dropped, and ends with the next entry. Both tests failed before.

--- a/src/heatheryoke/core/store_return.py
+++ b/src/heatheryoke/core/store_return.py
@@ -8,7 +8,6 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from heatheryoke.core.records import StoreItem, Subject
@@ -64,14 +63,18 @@
     def __init__(self):
         self.born_ms: OrderedDict[str, tuple[int, float]] = OrderedDict()
 
-    def add(self, names: Iterable[tuple[str, int]], now: float) -> None:
-        """Add incarnations that have left; forget those of more than `DEPARTURE_S` ago."""
-        for name, born_ms in names:
-            self.born_ms[name] = (born_ms, now)
-            self.born_ms.move_to_end(name)
+    def add(self, name: str, born_ms: int, now: float) -> None:
+        """Add an incarnation that has left; forget those of more than `DEPARTURE_S` ago."""
+        self.born_ms[name] = (born_ms, now)
+        self.born_ms.move_to_end(name)
         while self.born_ms and now - next(iter(self.born_ms.values()))[1] > DEPARTURE_S:
             self.born_ms.popitem(last=False)
 
+    def discard(self, name: str, born_ms: int) -> None:
+        """Forget an incarnation that is there again."""
+        if self.includes(name, born_ms):
+            del self.born_ms[name]
+
     def includes(self, name: str, born_ms: int) -> bool:
         """Return whether an incarnation, or a later one of the same name, has left."""
         return name in self.born_ms and born_ms <= self.born_ms[name][0]
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -211,8 +211,9 @@
         held = self.endpoints.get(item.name)
         if not isinstance(record, EndpointRecord):
             return held is not None and self.drop_endpoint(item.name, held, now)
+        self.departures.discard(item.name, record.born_ms)
         if held is not None and held.born_ms < record.born_ms:
-            self.departures.add([(item.name, held.born_ms)], now)
+            self.departures.add(item.name, held.born_ms, now)
         self.expired.pop(item.name, None)
         self.endpoints[item.name] = record
         if record.cold_s > 0:
@@ -222,12 +223,12 @@
     def drop_endpoint(self, name: str, held: EndpointRecord, now: float) -> bool:
         """Remove an upstream, unless its entry may have expired because of a store outage."""
         del self.endpoints[name]
-        self.departures.add([(name, held.born_ms)], now)
         if not held.is_draining:
             self.last_removed_at = now
         if not held.is_draining and self.may_have_expired(now):
             self.expired[name] = held
             return False
+        self.departures.add(name, held.born_ms, now)
         self.cold_until.pop(name, None)
         return True
 
@@ -241,7 +242,8 @@
         """Remove entries still missing after the grace period; return whether there were any."""
         if not self.expired or self.may_have_expired(now):
             return False
-        for name in self.expired:
+        for name, record in self.expired.items():
+            self.departures.add(name, record.born_ms, now)
             self.cold_until.pop(name, None)
         self.expired.clear()
         return True
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -6,7 +6,13 @@
 
 from heatheryoke.core.backoff import Backoff
 from heatheryoke.core.effects import LogChange, PostponeStoreRead, SendPeer
-from heatheryoke.core.events import PeerMessageArrived, StoreChanged, StoreRead, Tick
+from heatheryoke.core.events import (
+    PeerMessageArrived,
+    PlatformUnavailable,
+    StoreChanged,
+    StoreRead,
+    Tick,
+)
 from heatheryoke.core.messages import (
     ConfigurationQuery,
     ConfigurationReply,
@@ -230,6 +236,21 @@
         pass_time(node, NOW + 66.0)
         assert not node.view.is_settled(NOW + 66.0)
 
+    def test_an_upstream_whose_entry_had_only_expired_is_taken_from_the_copy(self):
+        """A live upstream would get no flows for the whole grace period."""
+        node = make_agent()
+        node.reduce(PlatformUnavailable(NOW, "down"))
+        change(node, removed(3, 90))
+        return_from_copy(node)
+        assert "i-3" in node.view.endpoints and address_of(3).ip in node.topology.hosts
+
+    def test_an_upstream_that_is_written_again_has_not_left(self):
+        node = make_agent()
+        change(node, removed(3, 90), endpoint(3, 91))
+        return_from_copy(node, items=COPY[:3])
+        return_from_copy(node, NOW + 10.0, position=Position(2, 80))
+        assert "i-3" in node.view.endpoints
+
     def test_a_new_incarnation_under_the_same_id_is_accepted(self):
         node = make_agent()
         change(node, removed(3, 90))
