--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 from heatheryoke.standins import soak as soak_module
 from heatheryoke.standins.soak import Soak, run_soak
-from heatheryoke.standins.soak_faults import Fault
+from heatheryoke.standins.soak_faults import FAULTS, Fault
 from heatheryoke.standins.stream_caller import Outcome
 
 SHORT_S = 20.0
@@ -23,6 +23,19 @@
         assert sum(result.injected_faults.values()) > 3
 
 
+class TestReturnedStore:
+    """Guards against views that take a copy for the present, or refuse what is written after it."""
+
+    KINDS = ("store returned", "configurations in a storm", "agent killed", "balancer stopped")
+
+    def test_keeps_every_rule_while_the_store_returns_from_copies(self, monkeypatch):
+        monkeypatch.setattr(soak_module, "FAULTS", {kind: FAULTS[kind] for kind in self.KINDS})
+        monkeypatch.setattr(soak_module, "FAULT_GAPS_S", (0.5, 3.0))
+        result = run_soak(7, SHORT_S)
+        assert result.violations == []
+        assert result.injected_faults["store returned"] > 0
+
+
 class TestProcesses:
     """Guards against daemons that go on running after the soak has ended."""
 
