--- a/features/environment.py
+++ b/features/environment.py
@@ -30,3 +30,9 @@
     for caller in (*context.feed_callers, *context.sheet_callers):
         await caller.close()
     await context.site.close()
+
+
+def after_step(context, step):
+    """Print why a step failed, since the progress format does not."""
+    if step.error_message:
+        print(f"\n{step.filename}:{step.line} {step.name}: {step.error_message}")
