--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -186,10 +186,10 @@
         former, is_returned = self.view.complete_to, self.view.is_returned(position)
         changed = self.view.replace(items, position, now)
         if is_returned:
-            effects += self.note_return(former, now)
+            effects += self.note_return(former)
         return effects + self.update_topology(changed, now)
 
-    def note_return(self, former: Position, now: float) -> list[Effect]:
+    def note_return(self, former: Position) -> list[Effect]:
         """Log that the store has returned from an older copy, and what stays in force."""
         view = self.view
         kept = [f"{subject.value} {name}" for subject, name in view.deferred.by_key]
--- a/src/heatheryoke/core/store_return.py
+++ b/src/heatheryoke/core/store_return.py
@@ -12,7 +12,8 @@
 
 from heatheryoke.core.records import StoreItem, Subject
 
-__all__ = ["PERMIT_GRACE_S", "RESTRICT_GRACE_S", "Deferral", "DeferredItems", "Departures"]
+__all__ = ["PERMIT_GRACE_S", "RESTRICT_GRACE_S", "Deferral", "DeferredItems"]
+__all__ += ["Departure", "Departures"]
 
 # How long an upstream or the end of a withdrawal is still taken as known although the copy lacks
 # it. Per the platform, entries that a disturbance has removed are back within about 2 s.
@@ -57,24 +58,31 @@
         return [self.by_key.pop(key).item for key in due]
 
 
+class Departure(NamedTuple):
+    """An incarnation's Unix time of start in milliseconds, and the monotonic time it left at."""
+
+    born_ms: int
+    at: float
+
+
 class Departures:
     """Incarnations of upstreams that have left, identified by name and Unix time of start."""
 
     def __init__(self):
-        self.born_ms: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        self.by_name: OrderedDict[str, Departure] = OrderedDict()
 
     def add(self, name: str, born_ms: int, now: float) -> None:
         """Add an incarnation that has left; forget those of more than `DEPARTURE_S` ago."""
-        self.born_ms[name] = (born_ms, now)
-        self.born_ms.move_to_end(name)
-        while self.born_ms and now - next(iter(self.born_ms.values()))[1] > DEPARTURE_S:
-            self.born_ms.popitem(last=False)
+        self.by_name[name] = Departure(born_ms, now)
+        self.by_name.move_to_end(name)
+        while now - next(iter(self.by_name.values())).at > DEPARTURE_S:
+            self.by_name.popitem(last=False)
 
     def discard(self, name: str, born_ms: int) -> None:
         """Forget an incarnation that is there again."""
         if self.includes(name, born_ms):
-            del self.born_ms[name]
+            del self.by_name[name]
 
     def includes(self, name: str, born_ms: int) -> bool:
         """Return whether an incarnation, or a later one of the same name, has left."""
-        return name in self.born_ms and born_ms <= self.born_ms[name][0]
+        return name in self.by_name and born_ms <= self.by_name[name].born_ms
