One constant for the time until the store's entries are back

Reading the change as a newcomer: the grace after an outage and the one after a return from a copy have the same source and value, and stood twice. No behaviour changes. Run: the tests of the store, its return, its updates and the streams, and of the pages: all pass.

--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -37,8 +37,8 @@
 
 __all__ = ["EXPIRY_GRACE_S", "StoreView"]
 
-# Per the platform, entries that expired during a store outage are back within about 2 s.
-EXPIRY_GRACE_S = 2.3
+# Entries that expired during a store outage are back as soon as those that a return has lost.
+EXPIRY_GRACE_S = PERMIT_GRACE_S
 # Time without a disturbance after which the view contains every live upstream: the grace period
 # plus three heartbeats of the slowest known platform (1.2 s each).
 SETTLED_S = 6.0
