--- a/src/heatheryoke/core/owner.py
+++ b/src/heatheryoke/core/owner.py
@@ -103,7 +103,8 @@
         """Drop a flow that another owner serves; end its feeds, so that the caller reopens them."""
         self.flows.remove(owned.flow)
         effects = self.end_yielded_flow(owned, now)
-        reason = f"owned by {owner}"
+        known = "answered" if owned.answered else "not answered"
+        reason = f"owned by {owner}, {known} here, owned for {now - owned.opened:.3f} s"
         return [
             *effects,
             CloseFlow(owned.flow),
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -4,11 +4,12 @@
 from typing import Any
 
 from heatheryoke.core.directory import Directory
-from heatheryoke.core.effects import Count, Effect, SendPeer
+from heatheryoke.core.effects import Count, Effect, LogFlow, SendPeer
 from heatheryoke.core.events import ForwardArrived, PeerMessageArrived
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest
 from heatheryoke.core.stream_search import StreamSearch
+from heatheryoke.core.streams import OwnedStream, StreamHeader
 from heatheryoke.inventory.model import Address, Service
 
 __all__ = ["StreamAgent"]
@@ -49,11 +50,19 @@
         if owned is not None and not owned.contradicts(head):
             return effects + self.deliver(owned, message, now)
         if owned is not None:
-            effects += [Count("flows_contradicted"), *self.give_up(owned, now)]
+            effects += self.give_up_contradicted(owned, head, now)
         if head.opens:
             return effects + self.on_opening(event)
         return effects + self.forward_unknown(message, now)
 
+    def give_up_contradicted(
+        self, owned: OwnedStream, head: StreamHeader, now: float
+    ) -> list[Effect]:
+        """Give up a flow whose caller follows another upstream's acceptance."""
+        facts = (("accepted", owned.accepted), ("acknowledged", head.acknowledged))
+        contradicted = LogFlow(owned.flow, "contradicted", facts)
+        return [Count("flows_contradicted"), contradicted, *self.give_up(owned, now)]
+
     def on_opening(self, event: ForwardArrived) -> list[Effect]:
         """Place a new flow by the configuration that its balancer selected the service by.
 
