An owner compares a Yield with its own state before it drops the flow

Cause: a first packet whose acknowledgement was lost was sent another way, so that two upstreams accepted it. Owners are compared by whether the caller has answered, which changes while their registrations are on their way. One home compared after the caller's answer, and the second owner yielded; another home compared before it, and told the first owner to yield, which believed it. No owner was left, and a search reset the flow. Change: a Yield carries the registration that takes precedence. The receiver drops the flow only if that precedes its present registration, and else registers again. The order is total and an owner's place in it only rises, so two owners can't each yield to the other. A former release drops the new kind, and its own kind tells nothing of the caller's answer.

--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from heatheryoke.core.flows import FlowKey
-from heatheryoke.core.messages import Registration
+from heatheryoke.core.messages import Registration, Yield
 from heatheryoke.inventory.checks import name_hash
 
 __all__ = ["ENTRY_S", "RENEWAL_S", "TENTATIVE_S", "Directory", "Entry", "Outcome", "precedes"]
@@ -138,10 +138,10 @@
         return dropped
 
 
-def precedes(registration: Registration, rival: Registration) -> bool:
+def precedes(registration: Registration, rival: Registration | Yield) -> bool:
     """Return whether a registration precedes a rival's, by an order common to all homes."""
     return _precedence(registration) > _precedence(rival)
 
 
-def _precedence(registration: Registration) -> tuple[int, bool, int]:
+def _precedence(registration: Registration | Yield) -> tuple[int, bool, int]:
     return (registration.generation, registration.answered, name_hash(registration.owner))
--- a/src/heatheryoke/core/home.py
+++ b/src/heatheryoke/core/home.py
@@ -274,27 +274,32 @@
             effects += self.process_registration(event.sender, registration, event.now)
         return effects
 
+    def precedes(self, owned: OwnedFlow, rival: Registration | Yield) -> bool:
+        """Return whether an owned flow's registration takes precedence over another owner's."""
+        return precedes(owned.registration(self.host_name), rival)
+
     def process_registration(
         self, sender: Address, registration: Registration, now: float
     ) -> list[Effect]:
         """Process one registration; the owner that loses a conflict is sent a `Yield`."""
         owned = self.flows.flows.get(registration.flow)
         if owned is not None and not registration.closed:
-            if precedes(owned.registration(self.host_name), registration):
-                return [
-                    Count("owners_settled"),
-                    SendPeer(sender, Yield(registration.flow, self.host_name)),
-                ]
-            return [Count("owners_settled"), *self.yield_flow(owned, registration.owner, now)]
+            if self.yields_to(owned, registration):
+                return [Count("owners_settled"), *self.yield_flow(owned, registration.owner, now)]
+            notice = yield_notice(owned.registration(self.host_name))
+            return [Count("owners_settled"), SendPeer(sender, notice)]
         existing = self.directory.entries.get(registration.flow)
         outcome = self.directory.register(registration, now)
         if outcome is Outcome.LOST:
-            return [
-                Count("owners_settled"),
-                SendPeer(sender, Yield(registration.flow, existing.registration.owner)),
-            ]
+            notice = yield_notice(existing.registration)
+            return [Count("owners_settled"), SendPeer(sender, notice)]
         if outcome is Outcome.REPLACED:
             loser = self.topology.hosts.get(existing.registration.owner)
-            notice = Yield(registration.flow, registration.owner)
+            notice = yield_notice(registration)
             return [Count("owners_settled"), *([SendPeer(loser.address, notice)] if loser else [])]
         return [Count("registrations_refused")] if outcome is Outcome.REFUSED else []
+
+
+def yield_notice(winner: Registration) -> Yield:
+    """Return the message to an owner whose registration another one's takes precedence over."""
+    return Yield(winner.flow, winner.owner, winner.generation, winner.answered)
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -154,10 +154,16 @@
 
 
 class Yield(NamedTuple):
-    """Informs the losing owner of a flow that another host owns it."""
+    """Informs an owner of a flow that the registration of another owner takes precedence.
+
+    `generation` and `answered` are those of that registration. The receiver compares them with its
+    own state, which the sender may know only as it was before.
+    """
 
     flow: FlowKey
     owner: str
+    generation: int = 0
+    answered: bool = False
 
 
 class ClaimRecord(NamedTuple):
--- a/src/heatheryoke/core/owner.py
+++ b/src/heatheryoke/core/owner.py
@@ -16,6 +16,7 @@
     HOP_LIMIT,
     Forward,
     Hint,
+    Registration,
     RegistrationsAck,
     Yield,
 )
@@ -59,6 +60,10 @@
     def end_yielded_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
         """End the requests of a flow that another host owns."""
 
+    @abstractmethod
+    def precedes(self, owned: OwnedFlow, rival: Registration | Yield) -> bool:
+        """Return whether an owned flow's registration takes precedence over another owner's."""
+
     @abstractmethod
     def idle_s(self, service: str) -> float:
         """Return how long a silent flow of a service is kept."""
@@ -147,6 +152,20 @@
         return []
 
     def on_yield(self, event: PeerMessageArrived) -> list[Effect]:
-        """Drop a flow whose other owner takes precedence."""
-        owned = self.flows.flows.get(event.message.flow)
-        return self.yield_flow(owned, event.message.owner, event.now) if owned else []
+        """Drop a flow whose other owner takes precedence, or register it again if none does.
+
+        The sender may have compared the two owners by an earlier state of this one.
+        """
+        rival = event.message
+        owned = self.flows.flows.get(rival.flow)
+        if owned is None:
+            return []
+        if self.yields_to(owned, rival):
+            return self.yield_flow(owned, rival.owner, event.now)
+        if self.precedes(owned, rival):
+            self.registrar.register(owned, self.topology)
+        return [Count("yields_refused")]
+
+    def yields_to(self, owned: OwnedFlow, rival: Registration | Yield) -> bool:
+        """Return whether an owned flow is left to another owner."""
+        return not self.precedes(owned, rival)
--- a/src/heatheryoke/wire/messages.capnp
+++ b/src/heatheryoke/wire/messages.capnp
@@ -42,6 +42,8 @@
 struct Yield {
   flow @0 :Data;
   owner @1 :Text;
+  generation @2 :UInt32;
+  answered @3 :Bool;
 }
 
 struct RecoveryRequest {
--- a/src/heatheryoke/wire/peers.py
+++ b/src/heatheryoke/wire/peers.py
@@ -119,11 +119,22 @@
     return Registrations(batch, tuple(registrations))
 
 
-def _decode_yield(body: bytes) -> Yield:
+def _decode_former_yield(body: bytes) -> Yield:
     flow: FlowKey = body[:13]
     return Yield(flow, _decode_name(body, 13)[0])
 
 
+def _encode_yield(message: Yield) -> bytes:
+    flags = ANSWERED if message.answered else 0
+    return REGISTRATION.pack(message.flow, message.generation, flags) + _encode_name(message.owner)
+
+
+def _decode_yield(body: bytes) -> Yield:
+    flow, generation, flags = REGISTRATION.unpack_from(body)
+    owner, _ = _decode_name(body, REGISTRATION.size)
+    return Yield(flow, owner, generation, bool(flags & ANSWERED))
+
+
 def _decode_recovery(body: bytes) -> RecoveryRequest:
     incarnation, question = RECOVERY_REQUEST.unpack_from(body)
     return RecoveryRequest(_decode_name(body, RECOVERY_REQUEST.size)[0], incarnation, question)
@@ -316,7 +327,7 @@
     RegistrationsAck: MessageFormat(
         4, lambda m: BATCH.pack(*m), lambda b: RegistrationsAck(*BATCH.unpack(b))
     ),
-    Yield: MessageFormat(5, lambda m: m.flow + _encode_name(m.owner), _decode_yield),
+    Yield: MessageFormat(17, _encode_yield, _decode_yield),
     RecoveryRequest: MessageFormat(
         6,
         lambda m: RECOVERY_REQUEST.pack(m.incarnation, m.question) + _encode_name(m.host),
@@ -340,9 +351,12 @@
 SEARCH_FORMAT = MessageFormat(12, encode_search, _decode_search)
 # Releases that know no eras drop this kind, and send updates of era 0 only.
 UPDATE_OF_ERA_FORMAT = MessageFormat(15, _encode_update_of_era, _decode_update_of_era)
+# Former releases send this kind, which does not tell the registration that takes precedence.
+FORMER_YIELD = 5
 DECODERS = {message_format.kind: message_format.decode for message_format in FORMATS.values()}
 for special_format in (SEARCH_FORMAT, UPDATE_OF_ERA_FORMAT):
     DECODERS[special_format.kind] = special_format.decode
+DECODERS[FORMER_YIELD] = _decode_former_yield
 
 
 def format_of(message: Forward | PeerMessage) -> MessageFormat:
--- /dev/null
+++ b/tests/test_flow_owners.py
@@ -0,0 +1,70 @@
+"""Tests of flows that two agents own for a moment: which of them keeps the flow."""
+
+import pytest
+
+from heatheryoke.core.effects import SendPeer
+from heatheryoke.core.events import PeerMessageArrived, Tick
+from heatheryoke.core.messages import Yield
+from heatheryoke.inventory.model import Address
+from tests.test_streams import (
+    ACK,
+    NOW,
+    PORT,
+    accept_flow,
+    flow_of,
+    forward,
+    make_agent,
+    of_kind,
+    packet,
+)
+
+RIVAL = "10.1.0.4"
+RIVAL_ADDRESS = Address(RIVAL, PORT)
+
+
+def follow_up(agent, flow, now=NOW, flags=ACK):
+    """Let the caller of a flow follow the acceptance of an agent's upstream."""
+    return agent.reduce(forward(flow, packet(flow, flags, 2, 501), now=now))
+
+
+def receive_yield(agent, flow, generation=0, answered=False):
+    notice = Yield(flow, RIVAL, generation, answered)
+    return agent.reduce(PeerMessageArrived(NOW, RIVAL_ADDRESS, 3, notice))
+
+
+@pytest.fixture
+def flow():
+    return flow_of(1)
+
+
+@pytest.fixture
+def agent(flow):
+    agent = make_agent()
+    accept_flow(agent, flow)
+    return agent
+
+
+class TestYield:
+    """Guards against open flows that no agent owns any more, so that a search resets them."""
+
+    def test_an_owner_whose_caller_answered_does_not_yield(self, agent, flow):
+        """A home may have compared before it knew that the caller follows this owner."""
+        follow_up(agent, flow)
+        receive_yield(agent, flow)
+        assert flow in agent.flows.flows
+
+    def test_it_registers_again_at_its_homes(self, agent, flow):
+        follow_up(agent, flow)
+        agent.reduce(Tick(NOW + 0.1))
+        receive_yield(agent, flow)
+        sent = of_kind(agent.reduce(Tick(NOW + 0.2)), SendPeer)
+        entries = [row for effect in sent for row in getattr(effect.message, "entries", ())]
+        assert {(row.flow, row.answered) for row in entries} == {(flow, True)}
+
+    def test_an_owner_yields_to_the_one_that_the_caller_answered(self, agent, flow):
+        receive_yield(agent, flow, answered=True)
+        assert flow not in agent.flows.flows
+
+    def test_an_owner_that_is_not_followed_gives_up(self, agent, flow):
+        agent.reduce(Tick(NOW + 4.1))
+        assert flow not in agent.flows.flows
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -42,6 +42,7 @@
     Relayed,
     Search,
     Visit,
+    Yield,
 )
 from heatheryoke.core.records import (
     ConfigurationRecord,
@@ -218,7 +219,7 @@
 
     @given(st.binary(max_size=200))
     def test_any_peer_datagram_is_read_or_rejected(self, data):
-        for kind in range(16):
+        for kind in range(20):
             open_datagram(b"hy\x01" + bytes([kind]) + data)
 
     def test_a_search_has_a_kind_that_former_releases_drop(self):
@@ -230,6 +231,16 @@
         assert kinds[0] == 1 and min(kinds[1:]) > 7
         assert open_datagram(seal_datagram(7, relayed)) == (7, relayed)
 
+    def test_a_former_release_drops_and_sends_no_precedence_with_a_yield(self):
+        """Load pattern: a rolling upgrade; a former release knows the kinds up to 16."""
+        flow = flow_of(1)
+        notice = Yield(flow, "10.1.0.4", 3, True)
+        datagram = seal_datagram(7, notice)
+        assert datagram[3] > 16
+        assert open_datagram(datagram) == (7, notice)
+        former = datagram[:3] + b"\x05" + datagram[4:12] + flow + b"\x0810.1.0.4"
+        assert open_datagram(former) == (7, Yield(flow, "10.1.0.4"))
+
     def test_peer_datagrams_round_trip(self):
         flow = flow_of(1)
         message = Forward(
