No owner of a byte stream yields until the caller has answered one

Cause: while neither of two owners had heard of the caller, the hash of the hosts decided which one yields, and a later decision on the flow's owner (generation) went before the caller's answer. The caller follows whichever acceptance reaches it first; if that was the loser's, its agent had forgotten the flow and a search reset it. Six tests failed before (five hosts, one of them wins by its hash anyway; a generation; a home's entry). Change: an owner of byte streams yields only to one that the caller has answered, and only if it has not answered itself; the directory of such flows orders by the answer before the generation. An owner that is not followed gives the flow up after 4 s as before, or at the first packet that acknowledges another acceptance.

--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -9,13 +9,24 @@
 from heatheryoke.core.messages import Registration, Yield
 from heatheryoke.inventory.checks import name_hash
 
-__all__ = ["ENTRY_S", "RENEWAL_S", "TENTATIVE_S", "Directory", "Entry", "Outcome", "precedes"]
+__all__ = [
+    "ENTRY_S",
+    "RENEWAL_S",
+    "TENTATIVE_S",
+    "Directory",
+    "Entry",
+    "Outcome",
+    "by_answer",
+    "by_generation",
+]
 
 RENEWAL_S = 300.0
 ENTRY_S = 3 * RENEWAL_S
 TENTATIVE_S = 2.0
 MAXIMUM_ENTRIES = 400_000
 
+Precedence = tuple[int, int, int]
+
 
 class Entry(NamedTuple):
     """A home's entry for a flow.
@@ -39,12 +50,31 @@
     REFUSED = "refused"
 
 
+def by_generation(registration: Registration | Yield) -> Precedence:
+    """Return the rank of a registration: the latest decision on the flow's owner comes first."""
+    return registration.generation, registration.answered, name_hash(registration.owner)
+
+
+def by_answer(registration: Registration | Yield) -> Precedence:
+    """Return the rank of a registration: the owner that the caller has answered comes first."""
+    return registration.answered, registration.generation, name_hash(registration.owner)
+
+
 class Directory:
-    """Entries in order of expiry; when full, evicts the one closest to expiry if it is idle."""
+    """Entries in order of expiry; when full, evicts the one closest to expiry if it is idle.
+
+    Of two owners' registrations of a flow, the one of the higher `precedence` stays.
+    """
 
-    def __init__(self, maximum: int = MAXIMUM_ENTRIES, entry_s: float = ENTRY_S):
+    def __init__(
+        self,
+        maximum: int = MAXIMUM_ENTRIES,
+        entry_s: float = ENTRY_S,
+        precedence: Callable[[Registration | Yield], Precedence] = by_generation,
+    ):
         self.maximum = maximum
         self.entry_s = entry_s
+        self.precedence = precedence
         self.entries: OrderedDict[FlowKey, Entry] = OrderedDict()
         self.tentative: OrderedDict[FlowKey, Entry] = OrderedDict()
 
@@ -83,7 +113,7 @@
             and existing.expires > now
             and existing.registration.owner != registration.owner
         )
-        if is_conflict and not precedes(registration, existing.registration):
+        if is_conflict and not self.precedes(registration, existing.registration):
             return Outcome.LOST
         self.tentative.pop(registration.flow, None)
         if existing is None and not self.make_room(now):
@@ -92,6 +122,10 @@
         self.entries.move_to_end(registration.flow)
         return Outcome.REPLACED if is_conflict else Outcome.KEPT
 
+    def precedes(self, registration: Registration, rival: Registration | Yield) -> bool:
+        """Return whether a registration precedes a rival's, by an order common to all homes."""
+        return self.precedence(registration) > self.precedence(rival)
+
     def close(self, registration: Registration, existing: Entry | None) -> Outcome:
         """Remove the entry of a closed flow, if the registration is from the entry's owner."""
         if existing is not None and existing.registration.owner == registration.owner:
@@ -136,12 +170,3 @@
                 del table[flow]
                 dropped += 1
         return dropped
-
-
-def precedes(registration: Registration, rival: Registration | Yield) -> bool:
-    """Return whether a registration precedes a rival's, by an order common to all homes."""
-    return _precedence(registration) > _precedence(rival)
-
-
-def _precedence(registration: Registration | Yield) -> tuple[int, bool, int]:
-    return (registration.generation, registration.answered, name_hash(registration.owner))
--- a/src/heatheryoke/core/home.py
+++ b/src/heatheryoke/core/home.py
@@ -4,7 +4,7 @@
 from math import inf
 from typing import Any
 
-from heatheryoke.core.directory import Directory, Entry, Outcome, precedes
+from heatheryoke.core.directory import Directory, Entry, Outcome
 from heatheryoke.core.effects import (
     Count,
     Effect,
@@ -276,7 +276,7 @@
 
     def precedes(self, owned: OwnedFlow, rival: Registration | Yield) -> bool:
         """Return whether an owned flow's registration takes precedence over another owner's."""
-        return precedes(owned.registration(self.host_name), rival)
+        return self.directory.precedes(owned.registration(self.host_name), rival)
 
     def process_registration(
         self, sender: Address, registration: Registration, now: float
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from typing import Any
 
-from heatheryoke.core.directory import Directory
+from heatheryoke.core.directory import Directory, by_answer
 from heatheryoke.core.effects import Count, Effect, LogFlow, SendPeer
 from heatheryoke.core.events import ForwardArrived, PeerMessageArrived
 from heatheryoke.core.flows import FlowKey
@@ -33,7 +33,7 @@
 
     def __init__(self, *arguments: Any, **options: Any):
         super().__init__(*arguments, **options)
-        self.directory = Directory(MAXIMUM_ENTRIES, ENTRY_S)
+        self.directory = Directory(MAXIMUM_ENTRIES, ENTRY_S, by_answer)
         self.has_asked_peers = False
         self.balancers: OrderedDict[Address, float] = OrderedDict()
 
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -16,7 +16,7 @@
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.home import Home
 from heatheryoke.core.linked_node import LinkedNode
-from heatheryoke.core.messages import Forward, Hint
+from heatheryoke.core.messages import Forward, Hint, Registration, Yield
 from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.core.service_times import ServiceTimes
 from heatheryoke.core.streams import OwnedStream, StreamCodec, StreamHeader
@@ -151,6 +151,14 @@
         if len(self.placed_elsewhere) > MAXIMUM_PLACED_ELSEWHERE:
             self.placed_elsewhere.popitem(last=False)
 
+    def yields_to(self, owned: OwnedFlow, rival: Registration | Yield) -> bool:
+        """Return whether a flow is left to another owner: its caller has answered that one.
+
+        While it has answered neither, it may still follow either upstream's acceptance. An owner
+        that it does not follow gives the flow up after `CLOSING_S`.
+        """
+        return rival.answered and not owned.answered
+
     def on_accepted(self, owned: OwnedStream, head: StreamHeader, now: float) -> list[Effect]:
         """Record that the upstream has accepted a flow; notify its homes and its balancer."""
         if owned.accepted is not None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,7 +3,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heatheryoke.core.directory import ENTRY_S, RENEWAL_S, TENTATIVE_S, Directory, Outcome, precedes
+from heatheryoke.core.directory import (
+    ENTRY_S,
+    RENEWAL_S,
+    TENTATIVE_S,
+    Directory,
+    Outcome,
+    by_answer,
+    by_generation,
+)
 from heatheryoke.core.messages import Registration
 
 FLOWS = [b"flow-%d" % number for number in range(4)]
@@ -26,7 +34,8 @@
 class ReferenceDirectory:
     """The registrations in force in one dict, without expiry or limit."""
 
-    def __init__(self):
+    def __init__(self, precedence):
+        self.precedence = precedence
         self.by_flow: dict[bytes, Registration] = {}
 
     def register(self, registration: Registration) -> None:
@@ -37,7 +46,7 @@
         elif (
             existing is None
             or existing.owner == registration.owner
-            or precedes(registration, existing)
+            or self.precedence(registration) > self.precedence(existing)
         ):
             self.by_flow[registration.flow] = registration
 
@@ -65,9 +74,10 @@
         directory.register(make_registration("upstream-3", generation=1, closed=True), 0.0)
         assert directory.find(FLOWS[0], 0.0).registration.owner == "upstream-1"
 
-    @given(st.lists(any_registration, max_size=30))
-    def test_agrees_with_reference(self, registrations):
-        directory, reference = Directory(), ReferenceDirectory()
+    @given(st.lists(any_registration, max_size=30), st.sampled_from([by_answer, by_generation]))
+    def test_agrees_with_reference(self, registrations, precedence):
+        directory = Directory(precedence=precedence)
+        reference = ReferenceDirectory(precedence)
         for registration in registrations:
             directory.register(registration, 0.0)
             reference.register(registration)
--- a/tests/test_flow_owners.py
+++ b/tests/test_flow_owners.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from heatheryoke.core.effects import SendPeer
+from heatheryoke.core.directory import Outcome
+from heatheryoke.core.effects import AnswerCaller, Deliver, SendPeer
 from heatheryoke.core.events import PeerMessageArrived, Tick
-from heatheryoke.core.messages import Yield
+from heatheryoke.core.messages import Registration, Registrations, Yield
 from heatheryoke.inventory.model import Address
 from tests.test_streams import (
     ACK,
@@ -22,6 +23,15 @@
 RIVAL_ADDRESS = Address(RIVAL, PORT)
 
 
+def make_registration(flow, owner=RIVAL, generation=0, answered=False):
+    return Registration(flow, owner, generation, 0, answered, False, ())
+
+
+def register(agent, registration, now=NOW):
+    batch = Registrations(7, (registration,))
+    return agent.reduce(PeerMessageArrived(now, RIVAL_ADDRESS, 3, batch))
+
+
 def follow_up(agent, flow, now=NOW, flags=ACK):
     """Let the caller of a flow follow the acceptance of an agent's upstream."""
     return agent.reduce(forward(flow, packet(flow, flags, 2, 501), now=now))
@@ -47,10 +57,11 @@
 class TestYield:
     """Guards against open flows that no agent owns any more, so that a search resets them."""
 
-    def test_an_owner_whose_caller_answered_does_not_yield(self, agent, flow):
+    @pytest.mark.parametrize("generation", (0, 1))
+    def test_an_owner_whose_caller_answered_does_not_yield(self, agent, flow, generation):
         """A home may have compared before it knew that the caller follows this owner."""
         follow_up(agent, flow)
-        receive_yield(agent, flow)
+        receive_yield(agent, flow, generation)
         assert flow in agent.flows.flows
 
     def test_it_registers_again_at_its_homes(self, agent, flow):
@@ -61,10 +72,32 @@
         entries = [row for effect in sent for row in getattr(effect.message, "entries", ())]
         assert {(row.flow, row.answered) for row in entries} == {(flow, True)}
 
+    @pytest.mark.parametrize("number", range(1, 6))
+    def test_no_owner_yields_before_the_caller_has_answered_either(self, number, flow):
+        """The caller follows either acceptance, whichever owner takes precedence."""
+        agent = make_agent(number)
+        accept_flow(agent, flow)
+        receive_yield(agent, flow)
+        register(agent, make_registration(flow))
+        assert flow in agent.flows.flows
+
     def test_an_owner_yields_to_the_one_that_the_caller_answered(self, agent, flow):
         receive_yield(agent, flow, answered=True)
         assert flow not in agent.flows.flows
 
+    def test_a_later_decision_to_place_the_flow_does_not_replace_an_answered_owner(self, agent):
+        other = flow_of(2)
+        register(agent, make_registration(other, answered=True))
+        later = make_registration(other, "10.1.0.5", generation=1)
+        assert agent.directory.register(later, NOW) is Outcome.LOST
+
+    def test_packets_reach_the_upstream_that_the_caller_follows(self, agent, flow):
+        """Both homes have told the other owner to yield; the flow stays in use."""
+        receive_yield(agent, flow)
+        register(agent, make_registration(flow))
+        effects = follow_up(agent, flow)
+        assert of_kind(effects, Deliver) and not of_kind(effects, AnswerCaller)
+
     def test_an_owner_that_is_not_followed_gives_up(self, agent, flow):
         agent.reduce(Tick(NOW + 4.1))
         assert flow not in agent.flows.flows
