--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -96,7 +96,7 @@
     def on_packet(self, owned: OwnedFlow, message: Forward, now: float) -> list[Effect]:
         """Update a stream's state from a caller's packet and deliver it to the upstream."""
         head = self.codec.read_header(message.payload)
-        if not head.opens and owned.accepted is not None and not owned.answered:
+        if owned.accepted is not None and not (head.opens or head.resets or owned.answered):
             owned.answered = True
             self.cancel_removal(owned)
             self.registrar.register(owned, self.topology)
--- a/tests/test_flow_owners.py
+++ b/tests/test_flow_owners.py
@@ -11,6 +11,7 @@
     ACK,
     NOW,
     PORT,
+    RST,
     accept_flow,
     flow_of,
     forward,
@@ -91,6 +92,11 @@
         later = make_registration(other, "10.1.0.5", generation=1)
         assert agent.directory.register(later, NOW) is Outcome.LOST
 
+    def test_a_callers_reset_is_no_answer(self, agent, flow):
+        """A caller may reset the acceptance that it does not follow."""
+        follow_up(agent, flow, flags=RST)
+        assert not agent.flows.flows[flow].answered
+
     def test_packets_reach_the_upstream_that_the_caller_follows(self, agent, flow):
         """Both homes have told the other owner to yield; the flow stays in use."""
         receive_yield(agent, flow)
@@ -101,3 +107,4 @@
     def test_an_owner_that_is_not_followed_gives_up(self, agent, flow):
         agent.reduce(Tick(NOW + 4.1))
         assert flow not in agent.flows.flows
+
