A home that yields a flow keeps its owner's registration; unfollowed acceptances are given up after a restart

Two small gaps of the same code, each with a test that failed before; neither resets a flow. A home that owned the flow itself dropped the registration that it yielded to, so packets had to be searched for until the owner's next registration. A restarted agent that adopted an upstream's repeated acceptance kept that flow until it was idle, since nothing scheduled its removal when its caller did not follow it.

--- a/src/heatheryoke/core/home.py
+++ b/src/heatheryoke/core/home.py
@@ -285,7 +285,9 @@
         owned = self.flows.flows.get(registration.flow)
         if owned is not None and not registration.closed:
             if self.yields_to(owned, registration):
-                return [Count("owners_settled"), *self.yield_flow(owned, registration.owner, now)]
+                yielded = self.yield_flow(owned, registration.owner, now)
+                self.directory.register(registration, now)
+                return [Count("owners_settled"), *yielded]
             notice = yield_notice(owned.registration(self.host_name))
             return [Count("owners_settled"), SendPeer(sender, notice)]
         existing = self.directory.entries.get(registration.flow)
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -137,6 +137,8 @@
         owned.answered = not head.accepts
         owned.via = offered.via if offered else None
         self.adopt(owned, event.now)
+        if head.accepts:
+            self.schedule_removal(owned, event.now)
         if self.topology is not None:
             self.registrar.register(owned, self.topology)
         return owned
--- a/tests/test_flow_owners.py
+++ b/tests/test_flow_owners.py
@@ -4,7 +4,7 @@
 
 from heatheryoke.core.directory import Outcome
 from heatheryoke.core.effects import AnswerCaller, Deliver, SendPeer
-from heatheryoke.core.events import PeerMessageArrived, Tick
+from heatheryoke.core.events import PeerMessageArrived, Tick, UpstreamPacket
 from heatheryoke.core.messages import Registration, Registrations, Yield
 from heatheryoke.inventory.model import Address
 from tests.test_streams import (
@@ -12,6 +12,7 @@
     NOW,
     PORT,
     RST,
+    SYN,
     accept_flow,
     flow_of,
     forward,
@@ -86,6 +87,11 @@
         receive_yield(agent, flow, answered=True)
         assert flow not in agent.flows.flows
 
+    def test_a_home_that_yields_knows_the_owner(self, agent, flow):
+        register(agent, make_registration(flow, answered=True))
+        assert flow not in agent.flows.flows
+        assert agent.directory.find(flow, NOW).registration.owner == RIVAL
+
     def test_a_later_decision_to_place_the_flow_does_not_replace_an_answered_owner(self, agent):
         other = flow_of(2)
         register(agent, make_registration(other, answered=True))
@@ -108,3 +114,13 @@
         agent.reduce(Tick(NOW + 4.1))
         assert flow not in agent.flows.flows
 
+
+class TestRestartedOwner:
+    """Guards against half-open flows that a restarted agent keeps until they are idle."""
+
+    def test_an_adopted_acceptance_that_is_not_followed_is_given_up(self, flow):
+        agent = make_agent(first_start=False)
+        acceptance = packet(flow, SYN | ACK, 500, 2, from_upstream=True)
+        agent.reduce(UpstreamPacket(NOW, flow, acceptance))
+        agent.reduce(Tick(NOW + 4.1))
+        assert flow not in agent.flows.flows
