The refusing agent itself resets, once both homes have lately known no owner

Cause: a refusal that went from home to home could wait at a slow one and reset a flow that had been opened meanwhile, and a home that acknowledged late was left out, though it may be late since it has just opened the flow itself.

--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -29,12 +29,13 @@
     "Heartbeat",
     "Hint",
     "OpeningAck",
+    "OwnerQuery",
+    "OwnerUnknown",
     "PeerMessage",
     "Ping",
     "Pong",
     "RecoveryReply",
     "RecoveryRequest",
-    "Refusal",
     "Registration",
     "Registrations",
     "RegistrationsAck",
@@ -167,16 +168,16 @@
     answered: bool = False
 
 
-class Refusal(NamedTuple):
-    """Asks a home to reset a new flow that `host` does not admit, unless the flow has an owner.
+class OwnerQuery(NamedTuple):
+    """Asks a home whether it knows an owner of a new flow, before the flow is refused."""
+
+    flow: FlowKey
 
-    `checked` is the number of the flow's homes, in their order, that need not be asked again.
-    """
+
+class OwnerUnknown(NamedTuple):
+    """Replies to an `OwnerQuery` that the home knows no owner; without a reply there may be one."""
 
     flow: FlowKey
-    host: str
-    reason: str
-    checked: int
 
 
 class ClaimRecord(NamedTuple):
@@ -417,7 +418,8 @@
     | Registrations
     | RegistrationsAck
     | Yield
-    | Refusal
+    | OwnerQuery
+    | OwnerUnknown
     | RecoveryRequest
     | StoreSnapshot
     | StoreUpdate
--- a/src/heatheryoke/core/reachability.py
+++ b/src/heatheryoke/core/reachability.py
@@ -46,6 +46,7 @@
     def __init__(self):
         self.awaiting: dict[Address, float] = {}
         self.silent_until: dict[Address, float] = {}
+        self.silent_since: dict[Address, float] = {}
         self.silent_hosts: dict[str, set[str]] = {}
         self.unreachable_since: dict[str, float] = {}
         self.acknowledged_at: dict[str, float] = {}
@@ -67,6 +68,11 @@
             return False
         return self.silent_until.get(host.address, now) <= now
 
+    def silent_for(self, host: Host, now: float) -> float:
+        """Return how long a host has acknowledged nothing of what it was sent, 0 if it does."""
+        since = self.silent_since.get(host.address)
+        return 0.0 if since is None or not self.is_in_force() else now - since
+
     def is_domain_reachable(self, failure_domain: str) -> bool:
         """Return whether packets should be sent to a failure domain directly."""
         return failure_domain not in self.unreachable_since or not self.is_in_force()
@@ -82,6 +88,7 @@
         self.never_answered.discard(host.address)
         self.awaiting.pop(host.address, None)
         self.silent_until.pop(host.address, None)
+        self.silent_since.pop(host.address, None)
         self.silent_hosts.pop(domain, None)
         self.acknowledged_at[domain] = now
         since = self.unreachable_since.pop(domain, None)
@@ -111,6 +118,7 @@
     def on_silent(self, host: Host, size: int, sent_at: float, now: float) -> list[LinkChange]:
         """Avoid a silent host; return the change if its failure domain is now out of reach."""
         self.silent_until[host.address] = now + HOST_VERDICT_S
+        self.silent_since.setdefault(host.address, sent_at)
         if host.address not in self.answered:
             self.never_answered.add(host.address)
         domain = host.failure_domain
@@ -141,7 +149,7 @@
         """Forget the hosts and failure domains that are not in the view any more."""
         addresses = {host.address for host in hosts}
         domains = {host.failure_domain for host in hosts}
-        for by_address in (self.awaiting, self.silent_until):
+        for by_address in (self.awaiting, self.silent_until, self.silent_since):
             for address in by_address.keys() - addresses:
                 del by_address[address]
         self.answered &= addresses
--- a/src/heatheryoke/wire/peers.py
+++ b/src/heatheryoke/wire/peers.py
@@ -24,11 +24,12 @@
     Forward,
     Hint,
     OpeningAck,
+    OwnerQuery,
+    OwnerUnknown,
     PeerMessage,
     Ping,
     Pong,
     RecoveryRequest,
-    Refusal,
     Registration,
     Registrations,
     RegistrationsAck,
@@ -60,14 +61,13 @@
 VERSION = 1
 HEADER = struct.Struct("!2sBBQ")
 HINT = struct.Struct("!13sQ")
-OPENING_ACK = struct.Struct("!13s")
+FLOW = struct.Struct("!13s")
 RELAYED_HEADER = struct.Struct("!4sH4sHB")
 BATCH = struct.Struct("!I")
 NAME_LENGTH = struct.Struct("!B")
 RECOVERY_REQUEST = struct.Struct("!QI")
 REGISTRATION = struct.Struct("!13sIB")
 ANSWERED, CLOSED = 1, 2
-REFUSAL = struct.Struct("!13sB")
 STORE_UPDATE = struct.Struct("!QQQ")
 STORE_SNAPSHOT = struct.Struct("!QQQ")
 ERA = struct.Struct("!Q")
@@ -137,17 +137,6 @@
     return Yield(flow, owner, generation, bool(flags & ANSWERED))
 
 
-def _encode_refusal(message: Refusal) -> bytes:
-    names = _encode_name(message.host) + _encode_name(message.reason)
-    return REFUSAL.pack(message.flow, message.checked) + names
-
-
-def _decode_refusal(body: bytes) -> Refusal:
-    flow, checked = REFUSAL.unpack_from(body)
-    host, offset = _decode_name(body, REFUSAL.size)
-    return Refusal(flow, host, _decode_name(body, offset)[0], checked)
-
-
 def _decode_recovery(body: bytes) -> RecoveryRequest:
     incarnation, question = RECOVERY_REQUEST.unpack_from(body)
     return RecoveryRequest(_decode_name(body, RECOVERY_REQUEST.size)[0], incarnation, question)
@@ -341,16 +330,17 @@
         4, lambda m: BATCH.pack(*m), lambda b: RegistrationsAck(*BATCH.unpack(b))
     ),
     Yield: MessageFormat(17, _encode_yield, _decode_yield),
-    Refusal: MessageFormat(18, _encode_refusal, _decode_refusal),
+    OwnerQuery: MessageFormat(18, lambda m: FLOW.pack(*m), lambda b: OwnerQuery(*FLOW.unpack(b))),
+    OwnerUnknown: MessageFormat(
+        19, lambda m: FLOW.pack(*m), lambda b: OwnerUnknown(*FLOW.unpack(b))
+    ),
     RecoveryRequest: MessageFormat(
         6,
         lambda m: RECOVERY_REQUEST.pack(m.incarnation, m.question) + _encode_name(m.host),
         _decode_recovery,
     ),
     StoreUpdate: MessageFormat(7, _encode_store_update, _decode_store_update),
-    OpeningAck: MessageFormat(
-        8, lambda m: OPENING_ACK.pack(*m), lambda b: OpeningAck(*OPENING_ACK.unpack(b))
-    ),
+    OpeningAck: MessageFormat(8, lambda m: FLOW.pack(*m), lambda b: OpeningAck(*FLOW.unpack(b))),
     Ping: MessageFormat(9, lambda m: b"", lambda b: _decode_empty(Ping, b)),
     Pong: MessageFormat(10, lambda m: b"", lambda b: _decode_empty(Pong, b)),
     Relayed: MessageFormat(11, _encode_relayed, _decode_relayed),
