A refusal also asks the host that was passed the first packet and has not acknowledged it

Cause: an agent whose own way is slow passes a first packet on, gets no acknowledgement in time, finds no room elsewhere and resets the flow, before the registration of the host that it was passed to has reached the homes. The test failed before. Change: the packets that were sent another way are remembered with the hosts that may have them, and those are asked too.

--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -169,13 +169,13 @@
 
 
 class OwnerQuery(NamedTuple):
-    """Asks a home whether it knows an owner of a new flow, before the flow is refused."""
+    """Asks whether an owner of a new flow is known, before the flow is refused."""
 
     flow: FlowKey
 
 
 class OwnerUnknown(NamedTuple):
-    """Replies to an `OwnerQuery` that the home knows no owner; without a reply there may be one."""
+    """Replies to an `OwnerQuery` that no owner is known; without a reply there may be one."""
 
     flow: FlowKey
 
--- a/src/heatheryoke/core/sent_openings.py
+++ b/src/heatheryoke/core/sent_openings.py
@@ -35,6 +35,7 @@
 
     def __init__(self):
         self.by_flow: OrderedDict[FlowKey, SentOpening] = OrderedDict()
+        self.silent_hosts: OrderedDict[FlowKey, frozenset[Address]] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self.by_flow)
@@ -61,8 +62,21 @@
         ]
         for opening in overdue:
             del self.by_flow[opening.message.flow]
+            self.note_silent(opening)
         return overdue
 
+    def note_silent(self, opening: SentOpening) -> None:
+        """Record that a host may have a first packet, although it has not acknowledged it."""
+        flow = opening.message.flow
+        self.silent_hosts[flow] = self.hosts_that_may_have(flow) | {opening.to}
+        self.silent_hosts.move_to_end(flow)
+        if len(self.silent_hosts) > MAXIMUM_SENT:
+            self.silent_hosts.popitem(last=False)
+
+    def hosts_that_may_have(self, flow: FlowKey) -> frozenset[Address]:
+        """Return the hosts that were sent a first packet and have not acknowledged it in time."""
+        return self.silent_hosts.get(flow, frozenset())
+
     def allow_for_own_delay(self, now: float) -> None:
         """Extend all time-outs after a delay of this process, whose queue may hold the answers."""
         for flow, opening in self.by_flow.items():
--- a/src/heatheryoke/core/stream_refusal.py
+++ b/src/heatheryoke/core/stream_refusal.py
@@ -1,8 +1,9 @@
 """Refusals of new flows: a reset is sent once the flow's homes have said that they know no owner.
 
 A copy of a first packet, or one that was sent another way since its acknowledgement was late, may
-find no room after another agent's upstream has accepted the flow. Only the flow's homes know, since
-an owner registers there as soon as its upstream has accepted.
+find no room after another agent's upstream has accepted the flow. The flow's homes know, since an
+owner registers there as soon as its upstream has accepted, and so does the host that the packet was
+passed to without an acknowledgement.
 """
 
 from abc import abstractmethod
@@ -19,18 +20,18 @@
 
 __all__ = ["StreamRefusal"]
 
-# Silence after which a home is not asked: longer than a caller waits for its flow to open (1.4 s),
-# so that a silent home has opened none of the flows that are being refused.
-SILENT_HOME_S = 1.5
+# Silence after which a host is not asked: longer than a caller waits for its flow to open (1.4 s),
+# so that the host has opened none of the flows that are being refused.
+SILENT_S = 1.5
 # Refusals that await the homes' replies: more than the new flows of the time that replies may take.
 MAXIMUM_REFUSALS = 1_000
 
 
 class PendingRefusal(NamedTuple):
-    """A refusal, and the homes that have not replied yet."""
+    """A refusal, and the hosts that have not replied yet."""
 
     asked_at: float
-    homes: frozenset[Address]
+    hosts: frozenset[Address]
 
 
 class StreamRefusal(StreamOwner):
@@ -65,33 +66,39 @@
         ]
 
     def confirm_refusal(self, flow: FlowKey, now: float) -> list[Effect]:
-        """Ask the flow's homes for an owner; without a home to ask, reset the flow.
-
-        A home that acknowledges late is asked too: it may just have opened the flow.
-        """
-        homes = frozenset(
-            home.address
-            for home in self.topology.homes(flow)
-            if home.name != self.host_name
-            and self.reachability.silent_for(home, now) <= SILENT_HOME_S
-        )
-        if not homes or self.may_be_opened(flow, now):
+        """Ask the hosts that may know an owner; without one to ask, reset the flow."""
+        hosts = self.hosts_to_ask(flow, now)
+        if not hosts or self.may_be_opened(flow, now):
             return self.end_refusal(flow, now)
-        self.refusals[flow] = PendingRefusal(now, homes)
+        self.refusals[flow] = PendingRefusal(now, hosts)
         self.refusals.move_to_end(flow)
         if len(self.refusals) > MAXIMUM_REFUSALS:
             self.refusals.popitem(last=False)
-        return [SendPeer(address, OwnerQuery(flow)) for address in sorted(homes)]
+        return [SendPeer(address, OwnerQuery(flow)) for address in sorted(hosts)]
+
+    def hosts_to_ask(self, flow: FlowKey, now: float) -> frozenset[Address]:
+        """Return the flow's homes, and the hosts that may have been passed its first packet.
+
+        A host that acknowledges late is asked too: it may just have opened the flow.
+        """
+        by_address = self.topology.hosts_by_address
+        passed_to = self.sent_openings.hosts_that_may_have(flow)
+        hosts = [*self.topology.homes(flow), *filter(None, map(by_address.get, passed_to))]
+        return frozenset(
+            host.address
+            for host in hosts
+            if host.name != self.host_name and self.reachability.silent_for(host, now) <= SILENT_S
+        )
 
     def on_owner_query(self, event: PeerMessageArrived) -> list[Effect]:
-        """Reply, as a home, that a flow has no known owner; do not reply if it may have one."""
+        """Reply that no owner of a flow is known here; do not reply if it may have one."""
         flow = event.message.flow
         if self.may_be_opened(flow, event.now):
             return self.withdraw_refusal(flow)
         return [SendPeer(event.sender, OwnerUnknown(flow))]
 
     def on_owner_unknown(self, event: PeerMessageArrived) -> list[Effect]:
-        """Reset a refused flow once all homes that were asked know no owner.
+        """Reset a refused flow once all hosts that were asked know no owner.
 
         Replies that took long, on their way or here, say too little about the present.
         """
@@ -99,9 +106,9 @@
         refusal = self.refusals.get(flow)
         if refusal is None:
             return []
-        homes = refusal.homes - {event.sender}
-        if homes:
-            self.refusals[flow] = refusal._replace(homes=homes)
+        hosts = refusal.hosts - {event.sender}
+        if hosts:
+            self.refusals[flow] = refusal._replace(hosts=hosts)
             return []
         del self.refusals[flow]
         if event.now - refusal.asked_at > ACKNOWLEDGEMENT_TIMEOUT_S:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -5,6 +5,7 @@
 from heatheryoke.core.effects import AnswerCaller, SendPeer
 from heatheryoke.core.events import PeerMessageArrived
 from heatheryoke.core.messages import OwnerQuery, OwnerUnknown
+from heatheryoke.core.sent_openings import SentOpening
 from heatheryoke.wire.peers import open_datagram, seal_datagram
 from tests.test_flow_owners import make_registration, register
 from tests.test_streams import (
@@ -123,6 +124,14 @@
         agent = make_agent(items=(ITEMS[0], endpoint(1)))
         assert of_kind(refuse(agent, flow), AnswerCaller)
 
+    def test_a_host_that_may_have_the_first_packet_is_asked(self, flow, agents):
+        """It was passed the packet and has not acknowledged it (seed 19 of the flow model)."""
+        agent, opened = agents[other_host(flow)], agents["10.1.0.5"]
+        sent = SentOpening(opened.peer_address, forward(flow, packet(flow, SYN)).message, NOW, 0)
+        agent.sent_openings.add(sent)
+        agent.sent_openings.take_overdue(lambda address: True, NOW)
+        assert opened.peer_address in {query.to for query in queries(refuse(agent, flow))}
+
     def test_a_late_reply_confirms_nothing(self, flow, agents):
         """The flow may have been opened meanwhile (seeds 19 and 33 of the flow model)."""
         agent = agents[other_host(flow)]
