Model of streams: upstream in a module of its own, reducers made by a method

The upstream model moves to stream_upstream_model.py, the reducers of agents and balancers come from agent_node and balancer_node, and a network can add a delay per way.

--- a/src/heatheryoke/measure/network.py
+++ b/src/heatheryoke/measure/network.py
@@ -29,6 +29,7 @@
         self.hop_s = hop_s
         self.faults = LinkFaults()
         self.cuts: set[tuple[str, str]] = set()
+        self.extra_delay: Callable[[str, str], float] = lambda source, target: 0.0
 
     def cut(self, source: str, target: str) -> None:
         """Cut one direction between two locations or failure domains."""
@@ -56,7 +57,7 @@
         copies = 2 if faults.duplicate and self.random.random() < faults.duplicate else 1
         for _ in range(copies):
             delay = self.delay(source, target) + self.random.random() * faults.jitter_s
-            self.scheduler.after(delay, deliver)
+            self.scheduler.after(delay + self.extra_delay(source, target), deliver)
 
     def delay(self, source: str, target: str) -> float:
         """Return the delay of one hop without faults."""
--- a/src/heatheryoke/measure/stream_scenarios.py
+++ b/src/heatheryoke/measure/stream_scenarios.py
@@ -8,13 +8,8 @@
 from heatheryoke.core.stream_balancer import StreamBalancer
 from heatheryoke.core.upstream_monitor import TrafficMonitor
 from heatheryoke.measure.stream_baseline import RendezvousAgent, RendezvousBalancer
-from heatheryoke.measure.stream_world import (
-    NO_FAULT,
-    Roles,
-    StreamSite,
-    StreamWorld,
-    UpstreamFault,
-)
+from heatheryoke.measure.stream_upstream_model import NO_FAULT, UpstreamFault
+from heatheryoke.measure.stream_world import Roles, StreamSite, StreamWorld
 
 __all__ = ["CUT_SCENARIOS", "SICK_UPSTREAM_SCENARIOS", "STREAM_POLICIES", "STREAM_SCENARIOS"]
 __all__ += ["STORE_SCENARIOS", "StreamFigures", "run_stream_scenario"]
--- a/src/heatheryoke/measure/stream_world.py
+++ b/src/heatheryoke/measure/stream_world.py
@@ -23,7 +23,6 @@
     PeerMessageArrived,
     StoreRead,
     Tick,
-    UpstreamPacket,
 )
 from heatheryoke.core.flows import UDP, FlowKey, FlowTuple, PacketKind, flow_key
 from heatheryoke.core.messages import Forward
@@ -44,10 +43,11 @@
 from heatheryoke.measure.network import Network
 from heatheryoke.measure.scheduler import Scheduler
 from heatheryoke.measure.store_model import StoreModel
-from heatheryoke.platform.packets import ACK, BOUNCED, FIN, RST, SYN, PacketCodec
+from heatheryoke.measure.stream_upstream_model import StreamUpstreamModel, UpstreamFault
+from heatheryoke.platform.packets import ACK, SYN, PacketCodec
 from heatheryoke.standins.stream_packets import build_packet
 
-__all__ = ["NO_FAULT", "Roles", "StreamOutcome", "StreamSite", "StreamWorld", "UpstreamFault"]
+__all__ = ["Roles", "StreamOutcome", "StreamProcess", "StreamSite", "StreamWorld"]
 
 PEER_PORT = 7_000
 APP_PORT = 8_000
@@ -59,7 +59,6 @@
 OPENING_TIMES_S = (0.0, 0.2, 0.6)
 OPENING_TIMEOUT_S = 1.4
 RETRANSMIT_TIMES_S = (0.2, 0.6, 1.4, 3.0)
-FLAGS_OFFSET = 20
 
 
 class StreamSite(NamedTuple):
@@ -82,6 +81,7 @@
 
     balancer: type[StreamBalancer] = StreamBalancer
     agent: Callable[..., StreamAgent] = StreamAgent
+    upstream: Callable[..., StreamUpstreamModel] = StreamUpstreamModel
 
 
 class StreamOutcome(NamedTuple):
@@ -93,85 +93,6 @@
     tries: int
 
 
-class UpstreamFault(NamedTuple):
-    """What an upstream does to a share of its requests while its entry in the store is unchanged.
-
-    `refuses` means that it accepts no flow, `resets` that it resets the flow of a request at once,
-    and `hangs` that it never answers. Its work takes `slowness` times as long.
-    """
-
-    share: float = 1.0
-    refuses: bool = False
-    resets: bool = False
-    hangs: bool = False
-    slowness: float = 1.0
-
-
-NO_FAULT = UpstreamFault()
-
-
-class StreamUpstreamModel:
-    """An upstream that answers one request per flow, with a queue before its slots."""
-
-    def __init__(self, world: "StreamWorld", process: "StreamProcess"):
-        self.world = world
-        self.process = process
-        self.sequences: dict[FlowKey, int] = {}
-        self.busy = 0
-        self.queue: list[FlowKey] = []
-        self.runs: Counter[FlowKey] = Counter()
-        self.opened_at: list[float] = []
-        self.fault = NO_FAULT
-
-    def fails(self) -> bool:
-        """Return whether the fault hits the next request."""
-        return self.fault.share == 1.0 or self.world.random.random() < self.fault.share
-
-    def on_packet(self, flow: FlowKey, packet: bytes) -> None:
-        """Handle a caller's packet; return it to the agent if its flow is unknown."""
-        head = self.world.codec.read_header(packet)
-        if self.fault.refuses:
-            return
-        if head.opens:
-            if flow not in self.sequences:
-                self.opened_at.append(self.world.now)
-            sequence = self.sequences.setdefault(flow, self.world.random.getrandbits(31))
-            self.answer(flow, SYN | ACK, sequence)
-        elif flow not in self.sequences:
-            returned = bytearray(packet)
-            returned[FLAGS_OFFSET] |= BOUNCED
-            self.process.step(UpstreamPacket(self.world.now, flow, bytes(returned)))
-        elif head.length and flow not in self.runs:
-            if self.fault.resets and self.fails():
-                self.answer(flow, RST, self.sequences.pop(flow) + 1)
-                return
-            self.runs[flow] += 1
-            if self.fault.hangs and self.fails():
-                return
-            self.queue.append(flow)
-            self.start_queued()
-
-    def start_queued(self) -> None:
-        """Start queued requests while there are free slots."""
-        while self.queue and self.busy < self.world.site.slots:
-            flow = self.queue.pop(0)
-            self.busy += 1
-            mean_s = self.world.site.work_s * self.fault.slowness
-            work_s = self.world.random.expovariate(1 / mean_s)
-            self.world.scheduler.after(work_s, lambda flow=flow: self.finish(flow))
-
-    def finish(self, flow: FlowKey) -> None:
-        """Answer a request and start the next."""
-        self.busy -= 1
-        self.answer(flow, FIN | ACK, self.sequences[flow] + 1, b"done")
-        self.start_queued()
-
-    def answer(self, flow: FlowKey, flags: int, sequence: int, data: bytes = b"") -> None:
-        """Send a packet to a flow's caller through the agent."""
-        packet = build_packet(flow, flags, sequence, 0, data, to_caller=True)
-        self.process.step(UpstreamPacket(self.world.now, flow, packet))
-
-
 class StreamProcess:
     """A balancer or an agent: carries out the effects of its reducer in virtual time."""
 
@@ -180,14 +101,14 @@
         self.address = address
         self.domain = domain
         self.node = node
-        self.upstream = StreamUpstreamModel(world, self)
+        self.upstream = world.roles.upstream(world, self)
         self.is_up = True
         self.sent: Counter[str] = Counter()
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
             SendForward: self.send,
             SendPeer: self.send,
             Deliver: lambda effect: self.upstream.on_packet(effect.flow, effect.payload),
-            AnswerCaller: lambda effect: world.answer_caller(effect.flow, effect.payload),
+            AnswerCaller: lambda effect: world.answer_caller(effect.flow, effect.payload, self),
             ScheduleTick: lambda effect: world.scheduler.after(effect.delay_s, self.tick_early),
         }
 
@@ -304,6 +225,8 @@
 class StreamWorld:
     """A deployment in virtual time; cuts, kills and load are scheduled by the caller."""
 
+    process_type = StreamProcess
+
     def __init__(self, site: StreamSite, seed: int, roles: Roles = Roles()):
         self.site = site
         self.roles = roles
@@ -334,34 +257,41 @@
         """The virtual time in seconds."""
         return self.scheduler.now
 
-    def add_agent(self, address: Address, domain: str) -> None:
-        """Add an agent and its upstream."""
-        upstream = Address(address.ip, APP_PORT)
-        node = self.roles.agent(
+    def agent_node(self, address: Address, domain: str, incarnation: int = 1) -> StreamAgent:
+        """Return the reducer of an agent; from its second incarnation on, its upstream has run."""
+        return self.roles.agent(
             address.ip,
-            1,
-            0.0,
+            incarnation,
+            self.now,
             self.codec,
             SERVICE,
-            upstream,
-            first_start=True,
+            Address(address.ip, APP_PORT),
+            first_start=incarnation == 1,
             failure_domain=domain,
             peer_port=PEER_PORT,
         )
-        self.processes[address] = StreamProcess(self, address, domain, node)
-        self.agents.append(self.processes[address])
 
-    def add_balancer(self, address: Address, domain: str) -> None:
-        """Add a balancer."""
-        node = self.roles.balancer(
+    def balancer_node(self, address: Address, domain: str, incarnation: int = 1) -> StreamBalancer:
+        """Return the reducer of a balancer."""
+        return self.roles.balancer(
             address.ip,
-            1,
+            incarnation,
             self.codec,
             address=address,
             failure_domain=domain,
             peer_port=PEER_PORT,
         )
-        self.processes[address] = StreamProcess(self, address, domain, node)
+
+    def add_agent(self, address: Address, domain: str) -> None:
+        """Add an agent and its upstream."""
+        node = self.agent_node(address, domain)
+        self.processes[address] = self.process_type(self, address, domain, node)
+        self.agents.append(self.processes[address])
+
+    def add_balancer(self, address: Address, domain: str) -> None:
+        """Add a balancer."""
+        node = self.balancer_node(address, domain)
+        self.processes[address] = self.process_type(self, address, domain, node)
         self.balancers[domain].append(self.processes[address])
 
     def store_items(self) -> tuple[StoreItem, ...]:
@@ -386,8 +316,8 @@
         caller = Address(f"100.64.0.{high + 1}", 1_024 + port)
         return flow_key(FlowTuple(UDP, caller, SERVICE_ADDRESS))
 
-    def answer_caller(self, flow: FlowKey, packet: bytes) -> None:
-        """Send a packet to a flow's caller."""
+    def answer_caller(self, flow: FlowKey, packet: bytes, sender: StreamProcess) -> None:
+        """Send a packet from a process to a flow's caller."""
         request = self.requests.get(flow)
         if request is not None and request.flow == flow:
             self.scheduler.after(CALLER_DELAY_S, lambda: request.on_packet(packet))
