Model of kept flows: traces name pauses and restarts; silence counts from the last arrival

Silence now counts from the last packet that the upstream got, and a copy of a request in progress is acknowledged, as PROTOCOL.md has it. A trace shows what its processes went through, and each flow that an agent drops.

--- a/src/heatheryoke/measure/flow_troubles.py
+++ b/src/heatheryoke/measure/flow_troubles.py
@@ -58,6 +58,8 @@
         """Slow a process for a while."""
         self.slow[name] = self.random.choice((0.2, 0.5, 1.0))
         duration_s = self.random.uniform(*SPELL_S)
+        detail = f"for {duration_s:.3f} s, a share of {self.slow[name]}"
+        self.world.judge.note_process(name, "slow", detail)
         self.world.scheduler.after(duration_s, lambda: self.slow.pop(name, None))
 
 
--- a/src/heatheryoke/measure/flow_world.py
+++ b/src/heatheryoke/measure/flow_world.py
@@ -7,7 +7,7 @@
 
 from typing import Any, NamedTuple
 
-from heatheryoke.core.effects import DiscardQueued, LogChange, LogFlow, Stopped
+from heatheryoke.core.effects import CloseFlow, DiscardQueued, LogChange, LogFlow, Stopped
 from heatheryoke.core.events import StopRequested, StoreChanged, StoreRead, Tick
 from heatheryoke.core.flows import FlowKey, describe_flow
 from heatheryoke.core.messages import Yield
@@ -68,10 +68,10 @@
         self.incarnation = 1
         self.is_paused = False
         self.backlog: list[Any] = []
-        self.former_yields: set[tuple[FlowKey, str]] = set()
         self.effect_handlers |= {
             LogFlow: self.note_decision,
             LogChange: self.note_change,
+            CloseFlow: lambda effect: world.judge.note(effect.flow, self.name, "dropped"),
             Stopped: lambda effect: self.go_down(),
             DiscardQueued: lambda effect: self.backlog.clear(),
         }
@@ -91,6 +91,7 @@
         """Handle nothing for some time."""
         if self.is_up and not self.is_paused:
             self.is_paused = True
+            self.world.judge.note_process(self.name, "paused", f"for {duration_s:.3f} s")
             self.world.scheduler.after(duration_s, self.resume)
 
     def resume(self) -> None:
@@ -121,6 +122,7 @@
 
     def restart(self) -> None:
         """Stop the process in order; start it again while its upstream lives."""
+        self.world.judge.note_process(self.name, "asked to stop")
         self.step(StopRequested(self.world.now))
         incarnation = self.incarnation
         self.world.scheduler.after(STOP_LIMIT_S, lambda: self.go_down(incarnation))
@@ -131,6 +133,7 @@
             return
         self.is_up = False
         self.backlog.clear()
+        self.world.judge.note_process(self.name, "down")
         if not self.upstream.is_gone:
             self.world.scheduler.after(self.world.random.uniform(*RESTART_S), self.start_again)
 
@@ -139,6 +142,7 @@
         self.incarnation += 1
         self.node = self.world.agent_node(self.address, self.domain, self.incarnation)
         self.is_up = True
+        self.world.judge.note_process(self.name, "started again")
         self.world.store.read_by(self)
 
 
--- a/src/heatheryoke/measure/kept_flows.py
+++ b/src/heatheryoke/measure/kept_flows.py
@@ -45,6 +45,7 @@
         self.answers: dict[int, bytes] = {}
         self.answered = 0
         self.acknowledged = 0
+        self.last_packet = 0.0
 
     def belongs(self, head: StreamHeader) -> bool:
         """Return whether a caller's packet acknowledges what this upstream has sent."""
@@ -110,6 +111,7 @@
         if not held.is_open:
             held.is_open = True
             self.note(flow, "opened")
+        held.last_packet = self.world.now
         acknowledged = (head.acknowledged - held.sequence) % SEQUENCE_MODULUS
         held.acknowledged = max(held.acknowledged, acknowledged)
         if head.closes:
@@ -120,10 +122,12 @@
             self.take_request(flow, held, head.sequence)
 
     def take_request(self, flow: FlowKey, held: HeldFlow, number: int) -> None:
-        """Start a request, or repeat its answer."""
+        """Start a request, or repeat its answer; acknowledge a copy of one in progress."""
         if number in held.answers:
             self.send_answer(flow, held, number)
-        elif held.running is None:
+        elif held.running is not None:
+            self.answer(flow, ACK, held.next_sequence())
+        else:
             held.running = number
             self.waiting.append((flow, number))
             self.start_queued()
@@ -304,6 +308,10 @@
         upstream = self.upstream
         return upstream is not None and upstream.holds_open(self.flow, self.accepted)
 
+    def last_arrival(self) -> float:
+        """Return when the followed upstream last got a packet of the flow."""
+        return self.upstream.held[self.flow].last_packet
+
     def end(self, outcome: str) -> None:
         """End the flow."""
         self.is_over = True
