Soak: a reset of an open flow by the system is a violation, also beside planned work

Cause: `check_flow` judges the outcome of a request, and only while no unplanned fault is active anywhere. It missed resets of idle flows, and every reset beside an unplanned fault of any host, though rule FLOW counts them while the hosts involved are in touch.

Change: each caller reports a reset with checksum 0 (upstreams sign theirs, so none has 0) as it arrives, with its sender, whatever its sequence number. The soak records it if a live upstream has the flow open: it has got a packet that acknowledges its own acceptance. Excused are flows older than flowTtlS, idle for longer than idleTimeoutMs or whose route was removed, and unplanned faults in the last contactMs of the store, the sender, the balancers that took the flow's packets in that time, or the host of the upstream. Planned work and withdrawn domains excuse nothing. `Contact` keeps the unplanned faults by host. `check_flow` stays as it was.

An upstream that ends drops its flows. It answers a repeated SYN with its first sequence number, also after it has sent data. Altered packets are counted at replaced upstreams too. Callers replace a flow after one request in a hundred, so that most flows are young enough to be judged. An unserved check names its flow.

--- a/src/heatheryoke/standins/configuration_history.py
+++ b/src/heatheryoke/standins/configuration_history.py
@@ -93,9 +93,19 @@
     def is_routed(self, address: Address, sent_at: float, until: float) -> bool:
         """Return whether an address has a route in all versions that may have been in force."""
         started = sent_at - self.in_force_within_s
+        before = any(row.at <= started for row in self.published)
+        return before and not self.drops_route(address, sent_at, until)
+
+    def in_force(self, sent_at: float, until: float) -> list[Published]:
+        """Return the versions that may have been in force at some time."""
+        started = sent_at - self.in_force_within_s
         before = [row for row in self.published if row.at <= started]
         during = [row for row in self.published if started < row.at <= until]
-        return bool(before) and all(address in row.routes for row in (before[-1], *during))
+        return before[-1:] + during
+
+    def drops_route(self, address: Address, sent_at: float, until: float) -> bool:
+        """Return whether a version that may have been in force has no route for an address."""
+        return any(address not in row.routes for row in self.in_force(sent_at, until))
 
     def steps_back(self, flows: Iterable[Handled]) -> Iterator[str]:
         """Yield the flows run by an older configuration than one that their process had shown."""
--- a/src/heatheryoke/standins/route_checker.py
+++ b/src/heatheryoke/standins/route_checker.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.flows import FlowKey, describe_flow
 from heatheryoke.inventory.model import Address
 from heatheryoke.standins.configuration_history import Handled, describe
 from heatheryoke.standins.process_site import ProcessStreamSite
@@ -116,7 +116,11 @@
     async def start(self) -> None:
         """Start a caller for each balancer."""
         for host in self.site.balancers():
-            self.callers[host.name] = await self.site.add_caller(self.way_to(host))
+            await self.add_balancer(host)
+
+    async def add_balancer(self, host: StreamHost) -> None:
+        """Start a caller for a balancer."""
+        self.callers[host.name] = await self.site.add_caller(self.way_to(host))
 
     def way_to(self, host: StreamHost) -> Callable[[FlowKey], Address | None]:
         """Return a way through one balancer, until its process is gone."""
@@ -138,7 +142,7 @@
 
     def start_checks(self, address: Address) -> None:
         """Check an address at several balancers in rotation."""
-        hosts = self.site.in_rotation()
+        hosts = [host for host in self.site.in_rotation() if host.name in self.callers]
         for host in self.random.sample(hosts, min(len(hosts), BALANCERS_PER_CHECK)):
             task = asyncio.get_running_loop().create_task(self.check(host, address))
             self.tasks.add(task)
@@ -155,17 +159,20 @@
             handled = self.opening_of(flow, handled) or handled
             self.handled.append(handled)
         if self.is_calm(sent_at):
-            self.judge_in_time(handled, outcome)
+            self.judge_in_time(flow, handled, outcome)
         if outcome is Outcome.SERVED:
             await self.request_again(flow, handled)
         flow.close()
 
-    def judge_in_time(self, handled: Handled, outcome: Outcome) -> None:
+    def judge_in_time(self, flow: StreamFlow, handled: Handled, outcome: Outcome) -> None:
         """Record what the configuration in force must explain, since the system is calm."""
         if outcome is Outcome.SERVED or outcome is Outcome.RESET:
             self.judged_in_time.append(handled)
         elif self.site.history.is_routed(handled.address, handled.sent_at, self.now()):
-            self.unserved.append(f"{describe(handled)}: {outcome.value}, though it has a route")
+            self.unserved.append(
+                f"{describe(handled)}, flow {describe_flow(flow.key)}: {outcome.value}, though it "
+                "has a route"
+            )
 
     def opening_of(self, flow: StreamFlow, check: Handled) -> Handled | None:
         """Return how a flow was opened that some upstream has run a request of."""
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -14,13 +14,23 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.flows import FlowKey, describe_flow, flow_tuple
 from heatheryoke.inventory.model import Address
+from heatheryoke.standins.contact import CONTACT_S, CORE, Contact
 from heatheryoke.standins.process_site import ProcessStreamSite
 from heatheryoke.standins.route_checker import RouteChecker
 from heatheryoke.standins.soak_faults import FAULTS, FaultTarget
 from heatheryoke.standins.stream_caller import Outcome, StreamCaller, StreamFlow
-from heatheryoke.standins.stream_site import CHANGE_WITHIN_S, FEEDS, SHEETS, SMALL_SITE, SiteSize
+from heatheryoke.standins.stream_site import (
+    CHANGE_WITHIN_S,
+    FEEDS,
+    FLOW_TTL_S,
+    IDLE_TIMEOUT_MS,
+    SHEETS,
+    SMALL_SITE,
+    SiteSize,
+)
+from heatheryoke.standins.stream_upstream import StreamUpstream
 
 __all__ = ["Soak", "SoakResult", "run_soak", "write_logs"]
 
@@ -30,8 +40,8 @@
 SHEET_CALLERS = 6
 REQUEST_INTERVAL_S = 0.25
 TIMEOUT_S = 6.0
-# The platform's rules bind a process only after it was undisturbed for this time.
-CONTACT_S = 4.0
+# Share of requests after which a caller replaces its flow: most end within `FLOW_TTL_S`.
+RENEWAL_SHARE = 0.01
 # Time after the last fault within which all must work again (the platform's `recoveryS`).
 RECOVERY_S = 12.0
 # Pauses between the beginnings of two faults.
@@ -62,9 +72,12 @@
         self.outcomes: Counter[str] = Counter()
         self.injected_faults: Counter[str] = Counter()
         self.violations: list[str] = []
+        self.site.on_system_reset = self.check_reset
+        self.contact = Contact(self.now)
         self.unplanned_faults = 0
         self.calm_since = inf
         self.reserved: set[str] = set()
+        self.withdrawn: str | None = None
         self.is_over = False
         self.change_lock = asyncio.Lock()
         self.began = 0.0
@@ -97,6 +110,9 @@
             self.check_flow(flow, outcome, sent_at, was_open, upstreams)
             if outcome is not Outcome.SERVED:
                 flow = None
+            elif self.random.random() < RENEWAL_SHARE:
+                flow.close()
+                flow = None
             await asyncio.sleep(REQUEST_INTERVAL_S * (0.5 + self.random.random()))
 
     def check_flow(
@@ -120,6 +136,36 @@
                 f"outcome of a flow was {outcome.value} while {holders[0].name} kept its connection"
             )
 
+    def check_reset(self, flow: StreamFlow, sender: str) -> None:
+        """Record a reset by the system of a flow that is open at a live upstream.
+
+        It counts during planned work, and beside unplanned faults of other hosts than the
+        sender, the balancers that took the flow's latest packets, and the upstream's.
+        """
+        holder = self.holder(flow.key)
+        if holder is None or self.may_be_discarded(flow):
+            return
+        taken = [ip for ip, at in flow.taken_at.items() if self.now() - at < CONTACT_S]
+        names = [self.site.names.get(ip, ip) for ip in (sender, *taken)]
+        if self.contact.is_kept((*names, holder.host_name)):
+            self.record_violation(
+                f"{names[0]} reset {describe_flow(flow.key)}, which is open at {holder.host_name} "
+                f"({holder.name}); it was sent through {', '.join(names[1:])}"
+            )
+
+    def holder(self, flow: FlowKey) -> StreamUpstream | None:
+        """Return the live upstream at which a flow is open, if any."""
+        return next((row for row in self.site.upstreams.values() if row.has_open(flow)), None)
+
+    def may_be_discarded(self, flow: StreamFlow) -> bool:
+        """Return whether an open flow is too old, was idle too long or has lost its route."""
+        now = self.now()
+        return (
+            now - flow.opened_at > FLOW_TTL_S
+            or now - flow.active_at > IDLE_TIMEOUT_MS / 1000
+            or self.site.history.drops_route(flow_tuple(flow.key).service, flow.opened_at, now)
+        )
+
     async def fetch_repeatedly(self, caller: StreamCaller) -> None:
         """Send each request on a new flow."""
         while not self.is_over:
@@ -133,11 +179,10 @@
     def loyal_way(self) -> Callable[[FlowKey], Address | None]:
         """Return a way that keeps to each flow's balancer until that process is gone."""
         chosen: dict[FlowKey, Address] = {}
-        names = {host.ip: host.name for host in self.site.balancers()}
 
         def choose(flow: FlowKey) -> Address | None:
             balancer = chosen.get(flow)
-            if balancer is None or not self.site.is_running(names[balancer.ip]):
+            if balancer is None or not self.site.is_running(self.site.names[balancer.ip]):
                 balancer = self.site.route(flow)
                 if balancer is not None:
                     chosen[flow] = balancer
@@ -214,7 +259,8 @@
         cancel = asyncio.current_task().cancel
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, cancel)
         try:
-            await self.site.start()
+            with self.contact.disturbed(CORE):
+                await self.site.start()
             self.calm_since = self.now()
             callers = await self.start_callers()
             await self.inject_series(seconds)
@@ -250,7 +296,7 @@
     def check_processes(self) -> None:
         """Record faults of processes, unexpected exits, and altered packets."""
         self.violations += self.site.faults + self.site.unexpected_exits
-        altered = sum(upstream.altered for upstream in self.site.upstreams.values())
+        altered = sum(upstream.altered for upstream in self.site.all_upstreams)
         altered += sum(caller.altered for caller in self.site.callers)
         if altered:
             self.record_violation(f"{altered} packets altered")
--- a/src/heatheryoke/standins/soak_faults.py
+++ b/src/heatheryoke/standins/soak_faults.py
@@ -3,15 +3,17 @@
 import asyncio
 import signal
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from random import Random
 from typing import NamedTuple
 
 from heatheryoke.inventory.model import Role
+from heatheryoke.standins.contact import CORE, Contact
 from heatheryoke.standins.process_site import ProcessStreamSite
 from heatheryoke.standins.route_checker import RouteChecker
-from heatheryoke.standins.stream_site import HEARTBEAT_S, SHEETS, StreamHost
+from heatheryoke.standins.stream_site import HEARTBEAT_S, SERVICES, SHEETS, StreamHost
+from heatheryoke.standins.stream_store import StreamStore
 from heatheryoke.standins.stream_upstream import Sickness
 
 __all__ = ["FAULTS", "Fault", "FaultTarget"]
@@ -43,30 +45,68 @@
     random: Random
     site: ProcessStreamSite
     checker: RouteChecker
+    contact: Contact
     reserved: set[str]
+    withdrawn: str | None
     change_lock: asyncio.Lock
 
     @abstractmethod
     async def expect_no_new_flows(self, where: str, opened: Callable[[], int]) -> None:
         """Record new flows that arrive after a change should be in force."""
 
-    def pick_host(self, role: Role) -> StreamHost:
-        """Return a random host of a role, if possible one that no fault is using."""
-        hosts = [host for host in self.site.hosts.values() if host.role is role]
-        free = [host for host in hosts if host.name not in self.reserved]
-        return self.random.choice(free or hosts)
+    def serving(self, role: Role, service: str | None) -> list[StreamHost]:
+        """Return the hosts of a role and service that no fault uses and no withdrawal empties."""
+        return [
+            host
+            for host in self.site.hosts.values()
+            if (host.role, host.service) == (role, service)
+            and host.name not in self.reserved
+            and (role is Role.BALANCER or host.failure_domain != self.withdrawn)
+        ]
+
+    def can_spare(self, host: StreamHost) -> bool:
+        """Return whether a host is free and half of the hosts like it serve without it."""
+        kind = (host.role, host.service)
+        alike = [row for row in self.site.hosts.values() if (row.role, row.service) == kind]
+        others = [row for row in self.serving(*kind) if row is not host]
+        return host.name not in self.reserved and 2 * len(others) >= len(alike)
+
+    async def wait_for(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds that other faults change."""
+        while not condition():
+            await asyncio.sleep(0.1)
+
+    async def pick_host(self, role: Role, is_free: Callable[[StreamHost], bool]) -> StreamHost:
+        """Wait until a host of a role is free, and return one at random."""
+
+        def free() -> list[StreamHost]:
+            return [row for row in self.site.hosts.values() if row.role is role and is_free(row)]
+
+        await self.wait_for(lambda: bool(free()))
+        return self.random.choice(free())
 
     @asynccontextmanager
-    async def reserved_host(self, role: Role) -> AsyncIterator[StreamHost]:
-        """Reserve a host, so that no other fault uses it."""
-        host = self.pick_host(role)
-        while host.name in self.reserved:
-            await asyncio.sleep(0.1)
-        self.reserved.add(host.name)
-        try:
+    async def disturbed_host(self, role: Role) -> AsyncIterator[StreamHost]:
+        """Reserve a host for an unplanned fault."""
+        host = await self.pick_host(role, lambda row: row.name not in self.reserved)
+        with self.reserving(host.name), self.contact.disturbed(host.name):
             yield host
+
+    @asynccontextmanager
+    async def planned_host(self, role: Role) -> AsyncIterator[StreamHost]:
+        """Reserve a host for planned work, which leaves enough others like it."""
+        host = await self.pick_host(role, self.can_spare)
+        with self.reserving(host.name):
+            yield host
+
+    @contextmanager
+    def reserving(self, *names: str) -> Iterator[None]:
+        """Reserve hosts, so that no other fault uses them."""
+        self.reserved.update(names)
+        try:
+            yield
         finally:
-            self.reserved.discard(host.name)
+            self.reserved.difference_update(names)
 
     async def wait_random(self, bounds: tuple[float, float]) -> None:
         """Wait for a random time between two bounds."""
@@ -80,18 +120,36 @@
     inject: Callable[[FaultTarget], Awaitable[None]]
 
 
-async def restart(target: FaultTarget, role: Role, number: signal.Signals) -> None:
+async def restart(target: FaultTarget, host: StreamHost, number: signal.Signals) -> None:
     """End a process with a signal and start it again."""
-    async with target.reserved_host(role) as host:
-        await target.site.end(host.name, number)
-        await target.wait_random(RESTART_DELAY_S)
-        await target.site.start_process(host)
-        await asyncio.sleep(1.0)
+    await target.site.end(host.name, number)
+    await target.wait_random(RESTART_DELAY_S)
+    await target.site.start_process(host)
+    await asyncio.sleep(1.0)
+
+
+async def kill(target: FaultTarget, role: Role) -> None:
+    """Kill a process and start it again."""
+    async with target.disturbed_host(role) as host:
+        await restart(target, host, signal.SIGKILL)
+
+
+async def stop(target: FaultTarget, role: Role) -> None:
+    """Stop a process gracefully and start it again."""
+    async with target.planned_host(role) as host:
+        await restart(target, host, signal.SIGTERM)
+
+
+async def drain(target: FaultTarget, host: StreamHost) -> None:
+    """Drain an upstream and check that it receives no new flows."""
+    upstream = target.site.upstreams[host.name]
+    upstream.set_state("draining")
+    await target.expect_no_new_flows("a draining upstream", lambda: upstream.opened)
 
 
 async def signal_in_series(target: FaultTarget, role: Role) -> None:
     """Send a process several signals in a row, the last of which stops it; start it at once."""
-    async with target.reserved_host(role) as host:
+    async with target.disturbed_host(role) as host:
         await target.site.wait_started(host.name)
         for _ in range(target.random.randint(*SIGNALS_BEFORE_STOP)):
             await signal_harmlessly(target, host.name)
@@ -115,7 +173,7 @@
 
 async def pause(target: FaultTarget, role: Role) -> None:
     """Suspend a process for a time and resume it."""
-    async with target.reserved_host(role) as host:
+    async with target.disturbed_host(role) as host:
         target.site.send_signal(host.name, signal.SIGSTOP)
         await target.wait_random(FAULT_DURATION_S)
         target.site.send_signal(host.name, signal.SIGCONT)
@@ -125,19 +183,16 @@
     """Kill a share of the processes that no other fault is using, and start them again."""
     free = [name for name in target.site.processes if name not in target.reserved]
     names = target.random.sample(free, round(len(free) * share))
-    target.reserved.update(names)
-    try:
+    with target.reserving(*names), target.contact.disturbed(*names):
         await asyncio.gather(*(target.site.kill_process(name) for name in names))
         await target.wait_random(RESTART_DELAY_S)
         for name in names:
             await target.site.start_process(target.site.hosts[name])
-    finally:
-        target.reserved.difference_update(names)
 
 
 async def replace_upstream(target: FaultTarget) -> None:
     """Close an upstream abruptly and start a new one at the same address."""
-    async with target.reserved_host(Role.AGENT) as host:
+    async with target.disturbed_host(Role.AGENT) as host:
         await target.site.upstreams[host.name].close()
         await target.wait_random(RESTART_DELAY_S)
         await target.site.start_upstream(host)
@@ -145,7 +200,7 @@
 
 async def sicken_upstream(target: FaultTarget) -> None:
     """Let an upstream fail for a time while its entry in the store says that it is ready."""
-    async with target.reserved_host(Role.AGENT) as host:
+    async with target.disturbed_host(Role.AGENT) as host:
         upstream = target.site.upstreams[host.name]
         upstream.sickness = target.random.choice(SICKNESSES)
         await target.wait_random(FAULT_DURATION_S)
@@ -154,11 +209,9 @@
 
 async def drain_upstream(target: FaultTarget) -> None:
     """Drain an upstream, check that it receives no new flows, and make it ready again."""
-    async with target.reserved_host(Role.AGENT) as host:
-        upstream = target.site.upstreams[host.name]
-        upstream.set_state("draining")
-        await target.expect_no_new_flows("a draining upstream", lambda: upstream.opened)
-        upstream.set_state("ready")
+    async with target.planned_host(Role.AGENT) as host:
+        await drain(target, host)
+        target.site.upstreams[host.name].set_state("ready")
 
 
 async def withdraw_domain(target: FaultTarget) -> None:
@@ -166,12 +219,15 @@
     site = target.site
     domain = target.random.choice(sorted({host.failure_domain for host in site.agents()}))
     async with target.change_lock:
+        target.withdrawn = domain
+        await target.wait_for(lambda: all(target.serving(Role.AGENT, row) for row in SERVICES))
         site.store.put(f"op/evacuate/{domain}", {})
         upstreams = [row for row in site.upstreams.values() if row.domain == domain]
         await target.expect_no_new_flows(
             "a withdrawn domain", lambda: sum(upstream.opened for upstream in upstreams)
         )
         site.store.delete(f"op/evacuate/{domain}")
+        target.withdrawn = None
 
 
 async def remove_route(target: FaultTarget) -> None:
@@ -199,10 +255,11 @@
 
 async def set_store_fault(target: FaultTarget, name: str, value: object, normal: object) -> None:
     """Set an attribute of the store for a time and restore it."""
-    setattr(target.site.store, name, value)
-    target.site.store.wake_watches()
-    await target.wait_random(FAULT_DURATION_S)
-    setattr(target.site.store, name, normal)
+    with target.contact.disturbed(CORE):
+        setattr(target.site.store, name, value)
+        target.site.store.wake_watches()
+        await target.wait_random(FAULT_DURATION_S)
+        setattr(target.site.store, name, normal)
 
 
 async def reject_some_hosts(target: FaultTarget) -> None:
@@ -223,7 +280,12 @@
 
     The store's lease of an upstream that has left ends after three heartbeats.
     """
-    store = target.site.store
+    with target.contact.disturbed(CORE):
+        await return_and_rewrite(target, target.site.store)
+
+
+async def return_and_rewrite(target: FaultTarget, store: StreamStore) -> None:
+    """Return the store from older copies; write again what was lost."""
     for _ in range(target.random.randint(1, 2)):
         store.is_down = True
         store.wake_watches()
@@ -237,12 +299,12 @@
 
 
 FAULTS: dict[str, Fault] = {
-    "balancer killed": Fault(False, lambda t: restart(t, Role.BALANCER, signal.SIGKILL)),
-    "balancer stopped": Fault(True, lambda t: restart(t, Role.BALANCER, signal.SIGTERM)),
+    "balancer killed": Fault(False, lambda t: kill(t, Role.BALANCER)),
+    "balancer stopped": Fault(True, lambda t: stop(t, Role.BALANCER)),
     "balancer signalled": Fault(False, lambda t: signal_in_series(t, Role.BALANCER)),
     "balancer paused": Fault(False, lambda t: pause(t, Role.BALANCER)),
-    "agent killed": Fault(False, lambda t: restart(t, Role.AGENT, signal.SIGKILL)),
-    "agent stopped": Fault(True, lambda t: restart(t, Role.AGENT, signal.SIGTERM)),
+    "agent killed": Fault(False, lambda t: kill(t, Role.AGENT)),
+    "agent stopped": Fault(True, lambda t: stop(t, Role.AGENT)),
     "agent signalled": Fault(False, lambda t: signal_in_series(t, Role.AGENT)),
     "agent paused": Fault(False, lambda t: pause(t, Role.AGENT)),
     "all killed": Fault(False, lambda t: kill_together(t, 1.0)),
--- a/src/heatheryoke/standins/stream_caller.py
+++ b/src/heatheryoke/standins/stream_caller.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from enum import Enum
+from math import inf
 
 from heatheryoke.core.flows import UDP, FlowKey, FlowTuple, flow_key
 from heatheryoke.daemons.datagrams import Datagram, DatagramSocket
@@ -40,6 +41,10 @@
         self.received = b""
         self.was_reset = False
         self.requests = 0
+        self.opened_at = inf
+        # When the latest packet was sent, and when each balancer (by IP address) took one.
+        self.active_at = caller.now()
+        self.taken_at: dict[str, float] = {}
         self.packet_arrived = asyncio.Event()
 
     @property
@@ -53,6 +58,7 @@
             self.was_reset = True
         elif packet.has(SYN) and self.expected is None:
             self.expected = (packet.head.sequence + 1) % 2**32
+            self.opened_at = self.caller.now()
             self.sequence = (self.sequence + 1) % 2**32
         elif packet.data and packet.head.sequence == self.expected:
             self.received += packet.data
@@ -63,13 +69,20 @@
 
     def send(self, flags: int, data: bytes = b"") -> None:
         """Send a packet of the flow."""
-        acknowledged = self.expected or 0
-        self.caller.send(build_packet(self.key, flags, self.sequence, acknowledged, data))
+        self.send_acknowledging(self.expected or 0, flags, data)
+
+    def send_acknowledging(self, acknowledged: int, flags: int, data: bytes = b"") -> None:
+        """Send a packet with an acknowledgement; note when which balancer takes it."""
+        packet = build_packet(self.key, flags, self.sequence, acknowledged, data)
+        balancer = self.caller.send(packet)
+        self.active_at = self.caller.now()
+        if balancer is not None:
+            self.taken_at[balancer.ip] = self.active_at
 
     async def open(self) -> Outcome | None:
         """Open the flow; return None on success, otherwise the outcome."""
         for copy, wait_s in enumerate(SYN_TIMEOUTS_S):
-            self.caller.send(build_packet(self.key, SYN, self.sequence, copy))
+            self.send_acknowledging(copy, SYN)
             await self.wait(lambda: self.is_open or self.was_reset, wait_s)
             if self.was_reset:
                 return Outcome.RESET
@@ -132,6 +145,8 @@
         self.next_port = FIRST_PORT
         self.codec = PacketCodec()
         self.altered = 0
+        # Called with a flow that the system resets, and the IP address of the sender.
+        self.on_system_reset: Callable[[StreamFlow, str], None] = lambda flow, sender: None
         self.port: DatagramSocket | None = None
 
     async def start(self) -> None:
@@ -150,19 +165,27 @@
         self.flows[flow.key] = flow
         return flow
 
-    def send(self, packet: bytes) -> None:
-        """Send a packet to the balancer that the router currently selects, if any."""
+    def now(self) -> float:
+        """Return the time of the event loop."""
+        return asyncio.get_running_loop().time()
+
+    def send(self, packet: bytes) -> Address | None:
+        """Send a packet to the balancer that the router currently selects, and return it."""
         balancer = self.route(packet_flow(packet, Side.CALLER))
         if balancer is not None:
             self.port.send(packet, balancer)
+        return balancer
 
     def on_datagrams(self, batch: list[Datagram]) -> None:
         """Pass packets to their flows, and count altered ones."""
-        for data, _ in batch:
+        for data, source in batch:
             packet = read_packet(data)
             if packet is None:
                 self.altered += 1
                 continue
             flow = self.flows.get(packet_flow(data, Side.UPSTREAM))
-            if flow is not None:
-                flow.on_packet(packet)
+            if flow is None:
+                continue
+            if packet.is_system_reset:
+                self.on_system_reset(flow, source[0])
+            flow.on_packet(packet)
--- a/src/heatheryoke/standins/stream_packets.py
+++ b/src/heatheryoke/standins/stream_packets.py
@@ -23,6 +23,11 @@
         """Return whether a flag is set."""
         return bool(self.head.flags & flag)
 
+    @property
+    def is_system_reset(self) -> bool:
+        """Whether the system, not an upstream, reset the flow: the checksum is 0."""
+        return self.head.flags == RST and self.head.sum == 0 and not self.data
+
 
 def _checksum(head: PacketHeader, data: bytes) -> int:
     parts = [str(getattr(head, name)) for name in CHECKSUM_FIELDS]
@@ -68,7 +73,7 @@
     if len(packet) < HEADER.size:
         return None
     head, data = PacketHeader(*HEADER.unpack_from(packet)), packet[HEADER.size :]
-    is_system_reset = head.flags == RST and head.sum == 0 and not data
+    result = Packet(head, data)
     if head.echo or head.pad or head.flags & ~(SYN | ACK | FIN | RST):
         return None
-    return Packet(head, data) if is_system_reset or head.sum == _checksum(head, data) else None
+    return result if result.is_system_reset or head.sum == _checksum(head, data) else None
--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -18,21 +18,39 @@
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.process import READY_PATH
 from heatheryoke.standins.configuration_history import ConfigurationHistory, Machine
-from heatheryoke.standins.stream_caller import StreamCaller
+from heatheryoke.standins.stream_caller import StreamCaller, StreamFlow
 from heatheryoke.standins.stream_store import StreamStore
 from heatheryoke.standins.stream_upstream import StreamUpstream
 
-__all__ = ["FEEDS", "SHEETS", "SMALL_SITE", "Ports", "SiteSize", "StreamHost", "StreamSite"]
+__all__ = [
+    "CHANGE_WITHIN_S",
+    "FEEDS",
+    "FLOW_TTL_S",
+    "HEARTBEAT_S",
+    "IDLE_TIMEOUT_MS",
+    "SERVICES",
+    "SHEETS",
+    "SMALL_SITE",
+    "Ports",
+    "SiteSize",
+    "StreamHost",
+    "StreamSite",
+]
 
 DOMAINS = ("domain-1", "domain-2", "domain-3")
 FEEDS = "feeds"
 SHEETS = "sheets"
 SERVICES = (FEEDS, SHEETS)
+NETWORKS = {Role.BALANCER: "127.20", Role.AGENT: "127.21"}
 KINDS = {FEEDS: "idempotent", SHEETS: "download"}
 PROBE_S = 0.25
 PROBE_FAILURE_LIMIT = 2
 HEARTBEAT_S = 1.0
 CHANGE_WITHIN_S = 3.0
+# The platform's `flowTtlS`: an older flow may be discarded.
+FLOW_TTL_S = 60.0
+# `idleTimeoutMs` of the configuration: a flow that was silent for longer may be discarded.
+IDLE_TIMEOUT_MS = 15_000
 FIRST_PORTS = 20_000
 LAST_PORTS = 30_000
 
@@ -89,9 +107,12 @@
         self.ports = Ports(*range(first, first + len(Ports._fields)))
         self.store = StreamStore()
         self.hosts = {host.name: host for host in self.make_hosts()}
+        # Names of all hosts by IP address, also of those that have left.
+        self.names = {host.ip: host.name for host in self.hosts.values()}
         self.upstreams: dict[str, StreamUpstream] = {}
         self.applications: dict[str, StreamApplication] = {}
         self.callers: list[StreamCaller] = []
+        self.on_system_reset: Callable[[StreamFlow, str], None] = lambda flow, sender: None
         self.probe_failures: dict[str, int] = {}
         self.version = 0
         self.routes = {self.service_address(service): service for service in SERVICES}
@@ -103,15 +124,16 @@
 
     def make_hosts(self) -> list[StreamHost]:
         """Return the hosts, spread over the failure domains."""
-        hosts = [
-            StreamHost(f"balancer-{n}", Role.BALANCER, f"127.20.0.{n}", DOMAINS[n % 3])
-            for n in range(1, self.size.balancers + 1)
-        ]
         services = [FEEDS] * self.size.feed_agents + [SHEETS] * self.size.sheet_agents
-        for number, service in enumerate(services, 1):
-            ip, domain = f"127.21.0.{number}", DOMAINS[number % 3]
-            hosts.append(StreamHost(f"agent-{number}", Role.AGENT, ip, domain, service))
-        return hosts
+        return [
+            *(self.make_host(Role.BALANCER, n) for n in range(1, self.size.balancers + 1)),
+            *(self.make_host(Role.AGENT, n, row) for n, row in enumerate(services, 1)),
+        ]
+
+    def make_host(self, role: Role, number: int, service: str | None = None) -> StreamHost:
+        """Return a host of a role by its number."""
+        ip = f"{NETWORKS[role]}.{number // 250}.{number % 250}"
+        return StreamHost(f"{role.value}-{number}", role, ip, DOMAINS[number % 3], service)
 
     def balancers(self) -> list[StreamHost]:
         """Return the hosts of balancers."""
@@ -166,6 +188,28 @@
             await upstream.close()
         await self.store.close()
 
+    async def join(self, role: Role, service: str | None = None) -> StreamHost:
+        """Add a host with a new address, as yet without an upstream, and return it."""
+        number = 1 + sum(name.startswith(role.value) for name in self.names.values())
+        host = self.make_host(role, number, service)
+        self.names[host.ip] = host.name
+        await self.store.listen(self.store_address(host))
+        await self.start_process(host)
+        self.hosts[host.name] = host
+        return host
+
+    async def end_upstream(self, host: StreamHost) -> StreamUpstream:
+        """Close the upstream of a host, and return it."""
+        upstream = self.upstreams.pop(host.name)
+        await upstream.close()
+        return upstream
+
+    async def leave(self, host: StreamHost) -> None:
+        """Stop a host's process and take the host away."""
+        await self.stop_process(host.name)
+        del self.hosts[host.name]
+        self.probe_failures.pop(host.name, None)
+
     def publish(self) -> None:
         """Write a new configuration with the present routes."""
         self.version += 3
@@ -176,7 +220,7 @@
                 {"name": service, "maxConns": 2_000, "warmupS": 2.0, "warmupPerS": 0.0}
                 for service in SERVICES
             ],
-            "limits": {"idleTimeoutMs": 15_000},
+            "limits": {"idleTimeoutMs": IDLE_TIMEOUT_MS},
         }
         self.store.put("op/config", value)
         self.history.publish(self.version, asyncio.get_running_loop().time(), self.routes)
@@ -196,11 +240,11 @@
             "maxAttempts": 2,
         }
 
-    async def start_upstream(self, host: StreamHost) -> None:
-        """Start the upstream of a host under a new name."""
+    async def start_upstream(self, host: StreamHost, name: str | None = None) -> None:
+        """Start the upstream of a host under a new name, or one that it had before."""
         app = Address(host.ip, self.ports.app)
         answers = Address(host.ip, self.ports.answers)
-        name = f"i-{self.random.getrandbits(32):08x}"
+        name = name or f"i-{self.random.getrandbits(32):08x}"
         upstream = StreamUpstream(
             name, host.service, host.failure_domain, app, answers, self.store, host.name
         )
@@ -227,7 +271,7 @@
             Address(host.ip, self.ports.answers) if is_agent else None,
             Address(host.ip, self.ports.app) if is_agent else None,
             host.service,
-            60.0 if is_agent else None,
+            FLOW_TTL_S if is_agent else None,
             ("health",) if is_agent else None,
         )
 
@@ -259,7 +303,7 @@
         timeout = aiohttp.ClientTimeout(total=PROBE_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
-                for host in self.hosts.values():
+                for host in list(self.hosts.values()):
                     if host.role is Role.BALANCER:
                         ready = await self.is_ready(session, host)
                         self.probe_failures[host.name] = (
@@ -310,6 +354,7 @@
         number = len(self.callers) + 1
         address = Address(f"127.22.{number // 250}.{number % 250 + 1}", self.ports.callers)
         caller = StreamCaller(address, route or self.route, number)
+        caller.on_system_reset = self.on_system_reset
         await caller.start()
         self.callers.append(caller)
         return caller
--- a/src/heatheryoke/standins/stream_store.py
+++ b/src/heatheryoke/standins/stream_store.py
@@ -61,7 +61,11 @@
         )
         await self.runner.setup()
         for address in addresses:
-            await web.TCPSite(self.runner, address.ip, address.port).start()
+            await self.listen(address)
+
+    async def listen(self, address: Address) -> None:
+        """Serve at one more address."""
+        await web.TCPSite(self.runner, address.ip, address.port).start()
 
     async def close(self) -> None:
         """Stop the HTTP server."""
--- a/src/heatheryoke/standins/stream_upstream.py
+++ b/src/heatheryoke/standins/stream_upstream.py
@@ -43,9 +43,10 @@
     """State of one flow at the upstream."""
 
     def __init__(self, sequence: int, expected: int):
-        self.sequence = sequence
+        self.first = self.sequence = sequence
         self.expected = expected
         self.acknowledged = sequence
+        self.is_open = False
         self.closed = False
 
 
@@ -93,9 +94,10 @@
         self.write_entry()
 
     async def close(self) -> None:
-        """Stop immediately and remove the entry from the store."""
+        """Stop immediately, drop all flows, and remove the entry from the store."""
         for task in self.tasks:
             task.cancel()
+        self.connections.clear()
         self.port.close()
         self.store.delete(f"servers/{self.name}")
 
@@ -104,6 +106,11 @@
         self.state = state
         self.write_entry()
 
+    def has_open(self, flow: FlowKey) -> bool:
+        """Return whether a flow is open here: its caller has acknowledged this acceptance."""
+        connection = self.connections.get(flow)
+        return connection is not None and connection.is_open
+
     def count_opened(self, address: Address) -> int:
         """Return how many flows to a caller's address were opened."""
         return sum(flow_tuple(flow).service == address for flow in self.openings)
@@ -161,12 +168,13 @@
             start = self.random.getrandbits(32)
             connection = Connection(start + 1, packet.head.sequence + 1)
             self.connections[flow] = connection
-        self.send(flow, SYN | ACK, connection.sequence - 1, connection.expected)
+        self.send(flow, SYN | ACK, connection.first - 1, connection.expected)
 
     def on_segment(self, flow: FlowKey, packet: Packet, connection: Connection) -> None:
         """Process data and acknowledgements; serve a request only once."""
         head = packet.head
         connection.acknowledged = head.acknowledged
+        connection.is_open |= head.acknowledged == connection.first
         if packet.has(FIN):
             self.send(flow, FIN | ACK, connection.sequence, head.sequence + 1)
             connection.closed = True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,10 +4,16 @@
 
 import pytest
 
+from heatheryoke.inventory.model import Address
+from heatheryoke.platform.packets import ACK, RST, SYN, PacketCodec
 from heatheryoke.standins import soak as soak_module
+from heatheryoke.standins.contact import CORE
 from heatheryoke.standins.soak import Soak, run_soak
 from heatheryoke.standins.soak_faults import FAULTS, Fault
-from heatheryoke.standins.stream_caller import Outcome
+from heatheryoke.standins.stream_caller import Outcome, StreamFlow
+from heatheryoke.standins.stream_packets import build_packet
+from heatheryoke.standins.stream_site import FEEDS, SHEETS
+from heatheryoke.standins.stream_upstream import StreamUpstream
 
 SHORT_S = 20.0
 # Seeds of soaks that violated a rule before the cause was fixed.
@@ -144,3 +150,146 @@
 
         assert len(asyncio.run(play(calm_since=10.0))) == 1
         assert asyncio.run(play(calm_since=1.0)) == []
+
+
+class TestResetCheck:
+    """Guards against a soak that passes although the system resets a flow that its upstream has.
+
+    The packets go straight into the caller and its upstream; no process runs.
+    """
+
+    NOW, SEQUENCE = 50.0, 700
+    BALANCER, AGENT, OTHER = "balancer-1", "agent-1", "agent-2"
+
+    @pytest.fixture
+    def soak(self, monkeypatch):
+        monkeypatch.setattr(StreamUpstream, "send", lambda *packet: None)
+        monkeypatch.setattr("heatheryoke.standins.stream_caller.StreamCaller.now", self.now)
+        monkeypatch.setattr(Soak, "now", self.now)
+        soak = Soak(1)
+        soak.site.history.publish(3, 0.0, soak.site.routes)
+        yield soak
+        soak.site.folder.cleanup()
+
+    def now(self, _=None) -> float:
+        return self.NOW
+
+    def upstream(self, soak, name=AGENT, service=FEEDS):
+        host = soak.site.hosts[name]
+        address = Address(host.ip, 1)
+        upstream = StreamUpstream("i-1", service, "d", address, address, soak.site.store, name)
+        soak.site.upstreams[name] = upstream
+        return upstream
+
+    def flow(self, soak, service=FEEDS) -> StreamFlow:
+        balancer = Address(soak.site.hosts[self.BALANCER].ip, 1)
+        caller = soak_module.StreamCaller(Address("127.22.0.1", 1), lambda flow: balancer, 1)
+        caller.on_system_reset = soak.check_reset
+        caller.port = type("Port", (), {"send": lambda *packet: None})()
+        return caller.flow(soak.site.service_address(service))
+
+    def deliver(self, flow, upstream, flags, acknowledged=0):
+        packet = build_packet(flow.key, flags, 1, acknowledged)
+        upstream.on_datagrams([(packet, Address("127.0.0.1", 1))])
+
+    def open(self, soak, service=FEEDS):
+        """Open a flow with both ends aware of it, and return it with its upstream."""
+        flow, upstream = self.flow(soak, service), self.upstream(soak, service=service)
+        self.accept(flow, upstream)
+        self.acknowledge(flow, upstream)
+        return flow, upstream
+
+    def accept(self, flow, upstream):
+        """Let the upstream accept, and the caller follow this acceptance."""
+
+        async def open_at_upstream():
+            self.deliver(flow, upstream, SYN)
+
+        asyncio.run(open_at_upstream())
+        first = upstream.connections[flow.key].first
+        self.answer(flow, build_packet(flow.key, SYN | ACK, first - 1, to_caller=True))
+
+    def acknowledge(self, flow, upstream):
+        """Let the caller's next packet reach an upstream."""
+        flow.send(ACK)
+        self.deliver(flow, upstream, ACK, flow.expected)
+
+    def answer(self, flow, packet, sender="127.0.0.1"):
+        flow.caller.on_datagrams([(packet, Address(sender, 1))])
+
+    def reset(self, soak, flow, sender=OTHER):
+        """Let the system reset a flow, with a sequence number that callers ignore."""
+        packet = PacketCodec().reset(flow.key, self.SEQUENCE)
+        self.answer(flow, packet, soak.site.hosts[sender].ip)
+        return len(soak.violations)
+
+    def test_a_reset_of_an_idle_open_flow_is_a_broken_rule(self, soak):
+        flow, _ = self.open(soak)
+        assert self.reset(soak, flow) == 1
+        assert "agent-2 reset" in soak.violations[0]
+
+    def test_a_reset_beside_planned_work_is_a_broken_rule(self, soak):
+        flow, _ = self.open(soak)
+        soak.reserved.update(soak.site.hosts)
+        soak.withdrawn = soak.site.hosts[self.AGENT].failure_domain
+        assert self.reset(soak, flow) == 1
+
+    def test_a_reset_beside_an_unplanned_fault_of_another_host_is_a_broken_rule(self, soak):
+        flow, _ = self.open(soak)
+        soak.unplanned_faults = 1
+        with soak.contact.disturbed("agent-3", "balancer-2"):
+            assert self.reset(soak, flow) == 1
+
+    @pytest.mark.parametrize("name", (CORE, BALANCER, AGENT, OTHER))
+    def test_a_reset_beside_an_unplanned_fault_or_soon_after_is_excused(self, soak, name):
+        flow, _ = self.open(soak)
+        with soak.contact.disturbed(name):
+            assert self.reset(soak, flow) == 0
+        soak.contact.ended_at[name] = self.NOW - 3.9
+        assert self.reset(soak, flow) == 0
+        soak.contact.ended_at[name] = self.NOW - 4.0
+        assert self.reset(soak, flow) == 1
+
+    def test_a_flow_is_not_open_before_its_upstream_has_the_next_packet(self, soak):
+        flow, upstream = self.flow(soak), self.upstream(soak)
+        self.accept(flow, upstream)
+        assert self.reset(soak, flow) == 0
+
+    def test_a_flow_is_open_only_where_the_caller_follows_the_acceptance(self, soak):
+        flow, followed = self.flow(soak), self.upstream(soak)
+        self.accept(flow, followed)
+        other = self.upstream(soak, self.OTHER)
+        other.random.seed(5)
+        self.accept(flow, other)
+        self.acknowledge(flow, other)
+        assert self.reset(soak, flow) == 0
+        self.acknowledge(flow, followed)
+        assert self.reset(soak, flow) == 1
+
+    def test_a_reset_by_the_upstream_is_no_broken_rule(self, soak):
+        flow, _ = self.open(soak)
+        self.answer(flow, build_packet(flow.key, RST, 1, to_caller=True))
+        assert flow.was_reset
+        assert soak.violations == []
+
+    def test_a_flow_whose_upstream_has_ended_is_excused(self, soak):
+        flow, upstream = self.open(soak)
+        upstream.port = type("Port", (), {"close": lambda self: None})()
+        asyncio.run(upstream.close())
+        assert self.reset(soak, flow) == 0
+
+    @pytest.mark.parametrize(("field", "age_s"), (("opened_at", 61.0), ("active_at", 16.0)))
+    def test_a_flow_that_may_be_discarded_is_excused(self, soak, field, age_s):
+        flow, _ = self.open(soak)
+        setattr(flow, field, self.NOW - age_s)
+        assert self.reset(soak, flow) == 0
+
+    def test_only_a_flow_whose_route_was_removed_is_excused(self, soak):
+        routes = dict(soak.site.routes)
+        del routes[soak.site.service_address(SHEETS)]
+        soak.site.history.publish(6, self.NOW - 1.0, routes)
+        soak.site.history.publish(9, self.NOW - 0.5, soak.site.routes)
+        removed, _ = self.open(soak, SHEETS)
+        assert self.reset(soak, removed) == 0
+        kept, _ = self.open(soak, FEEDS)
+        assert self.reset(soak, kept) == 1
