Soak: releases, rolling restarts and added hosts, overlapping; a short run of the planned kinds

Cause: the planned faults took one host each, so that no soak had the next restart begun before the former had settled, upstreams of one service replaced in turn, or hosts that join.

Change: four planned kinds. "balancers rolled" and "agents rolled" stop and start up to three processes, each begun 0.2 to 2.5 s after the former while that one may still be away; "release" drains up to three upstreams of a service one after another, ends each and starts it under a new id or the former one; "hosts added" lets a balancer and an agent with its upstream join at new addresses while traffic runs, and leave after some seconds, the upstream drained first.

--- a/src/heatheryoke/standins/soak_faults.py
+++ b/src/heatheryoke/standins/soak_faults.py
@@ -20,6 +20,12 @@
 
 RESTART_DELAY_S = (0.3, 3.0)
 FAULT_DURATION_S = (1.0, 5.0)
+# Hosts restarted or replaced one after another, and the pauses between the restarts: some begin
+# while the former process is away (`RESTART_DELAY_S`) or has just started.
+HOSTS_IN_TURN = 3
+ROLL_GAP_S = (0.2, 2.5)
+# How long an added host stays.
+STAY_S = (4.0, 8.0)
 # A pause shorter than the reducers notice.
 SHORT_PAUSE_S = (0.05, 0.9)
 # Changes of the configuration in a storm, and the pauses between them.
@@ -99,6 +105,12 @@
         with self.reserving(host.name):
             yield host
 
+    def sample_free(self, role: Role, service: str | None = None) -> list[StreamHost]:
+        """Return some hosts that no fault uses, for planned work on one after another."""
+        free = [row for row in self.site.hosts.values() if row.name not in self.reserved]
+        hosts = [row for row in free if row.role is role and service in (None, row.service)]
+        return self.random.sample(hosts, min(len(hosts), HOSTS_IN_TURN))
+
     @contextmanager
     def reserving(self, *names: str) -> Iterator[None]:
         """Reserve hosts, so that no other fault uses them."""
@@ -140,6 +152,32 @@
         await restart(target, host, signal.SIGTERM)
 
 
+async def roll(target: FaultTarget, role: Role) -> None:
+    """Restart processes in turn, each before the former has settled."""
+
+    async def stop_in_turn(host: StreamHost) -> None:
+        await target.wait_for(lambda: target.can_spare(host))
+        with target.reserving(host.name):
+            await restart(target, host, signal.SIGTERM)
+
+    async with asyncio.TaskGroup() as running:
+        for host in target.sample_free(role):
+            running.create_task(stop_in_turn(host))
+            await target.wait_random(ROLL_GAP_S)
+
+
+async def release(target: FaultTarget) -> None:
+    """Replace upstreams of a service one after another, under new names or the former ones."""
+    for host in target.sample_free(Role.AGENT, target.random.choice(SERVICES)):
+        await target.wait_for(lambda host=host: target.can_spare(host))
+        with target.reserving(host.name):
+            await drain(target, host)
+            former = await target.site.end_upstream(host)
+            await target.wait_random(RESTART_DELAY_S)
+            await target.site.start_upstream(host, target.random.choice((None, former.name)))
+            await asyncio.sleep(1.0)
+
+
 async def drain(target: FaultTarget, host: StreamHost) -> None:
     """Drain an upstream and check that it receives no new flows."""
     upstream = target.site.upstreams[host.name]
@@ -147,6 +185,29 @@
     await target.expect_no_new_flows("a draining upstream", lambda: upstream.opened)
 
 
+async def add_host(target: FaultTarget, role: Role, service: str | None = None) -> None:
+    """Add a host, an agent's with an upstream, and take it away after a time."""
+    site = target.site
+    host = await site.join(role, service)
+    with target.reserving(host.name):
+        await site.wait_started(host.name)
+        if role is Role.BALANCER:
+            await target.checker.add_balancer(host)
+        else:
+            await site.start_upstream(host)
+        await target.wait_random(STAY_S)
+        if role is Role.AGENT:
+            await drain(target, host)
+            await site.end_upstream(host)
+        await site.leave(host)
+
+
+async def add_hosts(target: FaultTarget) -> None:
+    """Add a balancer and an agent with its upstream while traffic runs."""
+    service = target.random.choice(SERVICES)
+    await asyncio.gather(add_host(target, Role.BALANCER), add_host(target, Role.AGENT, service))
+
+
 async def signal_in_series(target: FaultTarget, role: Role) -> None:
     """Send a process several signals in a row, the last of which stops it; start it at once."""
     async with target.disturbed_host(role) as host:
@@ -311,6 +372,10 @@
     "many killed": Fault(False, lambda t: kill_together(t, 0.5)),
     "upstream replaced": Fault(False, replace_upstream),
     "upstream sick": Fault(False, sicken_upstream),
+    "balancers rolled": Fault(True, lambda t: roll(t, Role.BALANCER)),
+    "agents rolled": Fault(True, lambda t: roll(t, Role.AGENT)),
+    "release": Fault(True, release),
+    "hosts added": Fault(True, add_hosts),
     "upstream drained": Fault(True, drain_upstream),
     "domain withdrawn": Fault(True, withdraw_domain),
     "route removed": Fault(True, remove_route),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 from heatheryoke.standins.soak_faults import FAULTS, Fault
 from heatheryoke.standins.stream_caller import Outcome, StreamFlow
 from heatheryoke.standins.stream_packets import build_packet
-from heatheryoke.standins.stream_site import FEEDS, SHEETS
+from heatheryoke.standins.stream_site import FEEDS, SHEETS, SiteSize
 from heatheryoke.standins.stream_upstream import StreamUpstream
 
 SHORT_S = 20.0
@@ -42,6 +42,22 @@
         assert result.injected_faults["store returned"] > 0
 
 
+class TestPlannedWork:
+    """Guards against open flows that the system resets while hosts and upstreams are replaced."""
+
+    # Large enough that two hosts of a kind may be away at the same time.
+    SIZE = SiteSize(balancers=4, feed_agents=5, sheet_agents=4)
+
+    def test_breaks_no_flow_while_its_kinds_overlap(self, monkeypatch):
+        planned = {kind: fault for kind, fault in FAULTS.items() if fault.is_planned}
+        monkeypatch.setattr(soak_module, "FAULTS", planned)
+        monkeypatch.setattr(soak_module, "FAULT_GAPS_S", (0.5, 3.0))
+        result = run_soak(1, SHORT_S, self.SIZE)
+        assert result.violations == []
+        assert result.outcomes["feed served"] > 100
+        assert len(result.injected_faults) > 3
+
+
 class TestProcesses:
     """Guards against daemons that go on running after the soak has ended."""
 
