Soak: an outcome is judged by the upstream whose acceptance the caller follows; seeds fix the kinds

Cause 1: `check_flow` took the first upstream with any state of the flow. A SYN that was placed twice leaves a second acceptance that the caller never follows; once planned work may end an upstream, its flows were charged to the second one. A test covers both sides.

Cause 2: the kinds of faults were drawn from the generator that callers and the checker use too, so the sequence depended on timing. The kinds now have a generator of their own.

--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -67,6 +67,8 @@
 
     def __init__(self, seed: int, size: SiteSize = SMALL_SITE):
         self.random = random.Random(seed)
+        # Of its own, so that the seed alone fixes the sequence of kinds, whatever the callers draw.
+        self.kinds = random.Random(f"kinds {seed}")
         self.site = ProcessStreamSite(seed, size)
         self.checker = RouteChecker(self.site, self.random, self.is_calm)
         self.outcomes: Counter[str] = Counter()
@@ -126,14 +128,10 @@
             self.record_violation("a caller received the answer to another request")
         if outcome is Outcome.SERVED or not was_open or not self.is_calm(sent_at):
             return
-        holders = [
-            upstream
-            for upstream in self.site.upstreams.values()
-            if flow.key in upstream.connections
-        ]
-        if holders and holders[0] in upstreams.values():
+        holder = self.holder(flow.key)
+        if holder in upstreams.values():
             self.record_violation(
-                f"outcome of a flow was {outcome.value} while {holders[0].name} kept its connection"
+                f"outcome of a flow was {outcome.value} while {holder.name} kept its connection"
             )
 
     def check_reset(self, flow: StreamFlow, sender: str) -> None:
@@ -210,7 +208,7 @@
 
     async def inject_fault(self) -> None:
         """Inject one random fault and wait for its end."""
-        kind = self.random.choice(sorted(FAULTS))
+        kind = self.kinds.choice(sorted(FAULTS))
         fault = FAULTS[kind]
         self.injected_faults[kind] += 1
         self.unplanned_faults += not fault.is_planned
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -110,12 +110,15 @@
 
 
 class FakeUpstream:
-    """Upstream with one connection."""
+    """Upstream with one open flow."""
 
     name = "i-1"
 
     def __init__(self, key):
-        self.connections = {key: None}
+        self.key = key
+
+    def has_open(self, flow):
+        return flow == self.key
 
 
 class FakeFlow:
@@ -282,6 +285,19 @@
         self.acknowledge(flow, followed)
         assert self.reset(soak, flow) == 1
 
+    def test_an_outcome_counts_only_while_the_upstream_that_the_caller_follows_holds_the_flow(
+        self, soak
+    ):
+        soak.calm_since = 0.0
+        flow, followed = self.open(soak)
+        self.accept(flow, self.upstream(soak, self.OTHER))
+        upstreams = dict(soak.site.upstreams)
+        soak.check_flow(flow, Outcome.SILENT, self.NOW, True, upstreams)
+        assert len(soak.violations) == 1
+        del followed.connections[flow.key]
+        soak.check_flow(flow, Outcome.SILENT, self.NOW, True, upstreams)
+        assert len(soak.violations) == 1
+
     def test_a_reset_by_the_upstream_is_no_broken_rule(self, soak):
         flow, _ = self.open(soak)
         self.answer(flow, build_packet(flow.key, RST, 1, to_caller=True))
