A search asks the upstream about flows that its agent has given up

Cause: an agent that had seen a flow open answered a search by its own table. A flow that it had given up, though its upstream had accepted it, counted as held by nobody, and was reset. Found by the review of this incident, as three ways to give up a flow in use: a caller's reset of another acceptance, a queued copy that replaced an adopted flow, and, in 1 of 4,096 pairs of acceptances, sequence numbers so near each other that a loser took the caller's packet as its own. A copy that has waited is delivered to the flow's owner. The window of a first answer is what an upstream has in flight, 16 packets of 1,200 bytes.

--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -208,7 +208,12 @@
     def start_flow(
         self, message: Forward, service: Service, now: float, waited_s: float = 0.0
     ) -> list[Effect]:
-        """Become the owner of a new flow and deliver its first packet."""
+        """Become the owner of a new flow and deliver its first packet.
+
+        A copy that has waited may find that the upstream has accepted the flow meanwhile.
+        """
+        if message.flow in self.flows.flows:
+            return self.deliver(self.flows.flows[message.flow], message, now)
         opens_feed = self.opens_feed(message, service)
         generation = message.generation
         owned = OwnedStream(message.flow, service.name, generation, 0, now)
--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -30,7 +30,7 @@
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest, Search
 from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.core.stream_admission import StreamAdmission
-from heatheryoke.core.streams import StreamHeader
+from heatheryoke.core.streams import OwnedStream, StreamHeader, follows
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address, Host
 
@@ -66,6 +66,7 @@
         self.next_probe = self.started
         self.own_short_id = self.own_id & SHORT_ID_MASK
         self.returned: OrderedDict[FlowKey, None] = OrderedDict()
+        self.released: OrderedDict[FlowKey, OwnedStream] = OrderedDict()
         self.message_handlers[RecoveryRequest] = self.on_recovery_request
         self.event_handlers[UpstreamDown] = self.on_upstream_down
 
@@ -79,7 +80,7 @@
             if owner is not None and short_id(owner.name) not in asked:
                 return self.pass_on(message, owner)
         if self.own_short_id not in asked:
-            if now < self.may_hold_unknown_until and flow not in self.returned:
+            if self.may_upstream_hold(message, now) and flow not in self.returned:
                 return self.offer(message)
             message = self.with_own_answer(message, now)
             asked = message.search.asked
@@ -93,6 +94,29 @@
             return self.reset_lost(message, "no upstream holds the flow")
         return [Count("dropped_no_owner")]
 
+    def may_upstream_hold(self, message: Forward, now: float) -> bool:
+        """Return whether the upstream may hold a flow that this process does not own.
+
+        It may have accepted it before this process started, or this process has given it up since.
+        """
+        if now < self.may_hold_unknown_until:
+            return True
+        released = self.released.get(message.flow)
+        if released is None:
+            return False
+        return released.answered or follows(
+            self.codec.read_header(message.payload), released.accepted
+        )
+
+    def end_closed_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
+        """Remember a flow that is given up although the upstream has accepted it."""
+        if owned.answered or owned.accepted is not None:
+            self.released[owned.flow] = owned
+            self.released.move_to_end(owned.flow)
+            if len(self.released) > MAXIMUM_OFFERED:
+                self.released.popitem(last=False)
+        return super().end_closed_flow(owned, now)
+
     def next_host_to_ask(self, flow: FlowKey, asked: tuple[int, ...], now: float) -> Address | None:
         """Return the address of the next host to ask about a flow, None to end the search.
 
@@ -195,6 +219,7 @@
         """Add a flow to the tables; its upstream holds it, whatever it returned before."""
         super().adopt(owned, now)
         self.returned.pop(owned.flow, None)
+        self.released.pop(owned.flow, None)
 
     def note_returned(self, flow: FlowKey) -> None:
         """Record that the upstream does not hold a flow; it need not be asked again."""
--- a/src/heatheryoke/core/streams.py
+++ b/src/heatheryoke/core/streams.py
@@ -11,10 +11,12 @@
 from heatheryoke.core.ownership import OwnedFlow
 from heatheryoke.inventory.model import Address
 
-__all__ = ["SEQUENCE_MODULUS", "OwnedStream", "StreamCodec", "StreamHeader"]
+__all__ = ["SEQUENCE_MODULUS", "OwnedStream", "StreamCodec", "StreamHeader", "follows"]
 
 SEQUENCE_MODULUS = 2**32
-ACKNOWLEDGED_WINDOW = 2**20
+# What a caller can acknowledge before its owner has heard of it: the upstream's first packets, of
+# which at most 16 with 1,200 bytes each are in flight.
+ACKNOWLEDGED_WINDOW = 1 + 16 * 1_200
 
 
 class StreamHeader(NamedTuple):
@@ -46,6 +48,11 @@
     return 0 < (sequence - other) % SEQUENCE_MODULUS < SEQUENCE_MODULUS // 2
 
 
+def follows(head: StreamHeader, accepted: int) -> bool:
+    """Return whether a caller's packet follows the acceptance of a sequence number."""
+    return 0 < (head.acknowledged - accepted) % SEQUENCE_MODULUS <= ACKNOWLEDGED_WINDOW
+
+
 class StreamCodec(ABC):
     """Reads and writes the headers of a stream's packets."""
 
@@ -134,5 +141,4 @@
         """Return whether a caller's packet shows that another upstream accepted the flow."""
         if self.answered or self.accepted is None or head.opens or head.resets:
             return False
-        ahead = (head.acknowledged - self.accepted) % SEQUENCE_MODULUS
-        return ahead > ACKNOWLEDGED_WINDOW
+        return not follows(head, self.accepted)
