Homes keep the registration of a flow's owner while another owner comes and goes

Cause: a home that owned a flow itself dropped another owner's registration, and the one that a Yield named; an owner that gave up closed the only entry that a home had left, up to a tick before the answered one registered. Then the homes knew no owner of an open flow, and let a refusal reset it. An unanswered home and an unanswered owner before it sent each other a Yield and a registration at every tick. Change: a home keeps the other owner's registration in all these cases; an owner that a home has named another for registers at once when its caller answers; a home sends a Yield only if its own registration takes precedence.

--- a/src/heatheryoke/core/directory.py
+++ b/src/heatheryoke/core/directory.py
@@ -154,6 +154,10 @@
             for flow in gone:
                 del table[flow]
 
+    def remove_tentative(self, flow: FlowKey) -> None:
+        """Remove a flow's tentative entry."""
+        self.tentative.pop(flow, None)
+
     def remove(self, flow: FlowKey) -> None:
         """Remove a flow's entries."""
         self.entries.pop(flow, None)
--- a/src/heatheryoke/core/home.py
+++ b/src/heatheryoke/core/home.py
@@ -278,6 +278,12 @@
         """Return whether an owned flow's registration takes precedence over another owner's."""
         return self.directory.precedes(owned.registration(self.host_name), rival)
 
+    def keep_registration(self, registration: Registration, now: float) -> None:
+        """Keep the registration of a flow's other owner, if this host is a home of the flow."""
+        service = self.topology.service_of(registration.flow)
+        if service is not None and self.host_name in self.home_names(registration.flow, service):
+            self.directory.register(registration, now)
+
     def process_registration(
         self, sender: Address, registration: Registration, now: float
     ) -> list[Effect]:
@@ -286,8 +292,11 @@
         if owned is not None and not registration.closed:
             if self.yields_to(owned, registration):
                 yielded = self.yield_flow(owned, registration.owner, now)
-                self.directory.register(registration, now)
+                self.keep_registration(registration, now)
                 return [Count("owners_settled"), *yielded]
+            self.keep_registration(registration, now)
+            if not self.precedes(owned, registration):
+                return []
             notice = yield_notice(owned.registration(self.host_name))
             return [Count("owners_settled"), SendPeer(sender, notice)]
         existing = self.directory.entries.get(registration.flow)
--- a/src/heatheryoke/core/messages.py
+++ b/src/heatheryoke/core/messages.py
@@ -52,6 +52,9 @@
 ]
 
 HOP_LIMIT = 12
+# Generation of a registration that a former release's `Yield` names: it tells none, and expects
+# that the receiver drops the flow.
+LATEST_GENERATION = 2**32 - 1
 
 
 class Visit(NamedTuple):
@@ -164,9 +167,13 @@
 
     flow: FlowKey
     owner: str
-    generation: int = 0
+    generation: int = LATEST_GENERATION
     answered: bool = False
 
+    def registration(self) -> Registration:
+        """Return the registration that takes precedence, as far as it is known."""
+        return Registration(self.flow, self.owner, self.generation, 0, self.answered, False, ())
+
 
 class OwnerQuery(NamedTuple):
     """Asks whether an owner of a new flow is known, before the flow is refused."""
--- a/src/heatheryoke/core/owner.py
+++ b/src/heatheryoke/core/owner.py
@@ -64,6 +64,10 @@
     def precedes(self, owned: OwnedFlow, rival: Registration | Yield) -> bool:
         """Return whether an owned flow's registration takes precedence over another owner's."""
 
+    @abstractmethod
+    def keep_registration(self, registration: Registration, now: float) -> None:
+        """Keep the registration of a flow's other owner, if this host is a home of the flow."""
+
     @abstractmethod
     def idle_s(self, service: str) -> float:
         """Return how long a silent flow of a service is kept."""
@@ -161,7 +165,10 @@
         if owned is None:
             return []
         if self.yields_to(owned, rival):
-            return self.yield_flow(owned, rival.owner, event.now)
+            yielded = self.yield_flow(owned, rival.owner, event.now)
+            self.keep_registration(rival.registration(), event.now)
+            return yielded
+        owned.contested = True
         if self.precedes(owned, rival):
             self.registrar.register(owned, self.topology)
         return [Count("yields_refused")]
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -23,13 +23,15 @@
     """A flow that this host's upstream serves.
 
     `answers` holds the latest answers by message id, for requests that arrive twice; `feeds`
-    holds the request that opened each active feed, by token.
+    holds the request that opened each active feed, by token. `contested` is set once a home has
+    named another owner.
     """
 
     __slots__ = (
         "active",
         "answered",
         "answers",
+        "contested",
         "feeds",
         "flow",
         "generation",
@@ -48,6 +50,7 @@
         self.opened = now
         self.active = now
         self.answered = False
+        self.contested = False
         self.feeds: dict[bytes, bytes] = {}
         self.homes: tuple[str, ...] = ()
         self.registration_hosts: tuple[str, ...] = ()
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -96,17 +96,29 @@
     def on_packet(self, owned: OwnedFlow, message: Forward, now: float) -> list[Effect]:
         """Update a stream's state from a caller's packet and deliver it to the upstream."""
         head = self.codec.read_header(message.payload)
+        effects: list[Effect] = []
         if owned.accepted is not None and not (head.opens or head.resets or owned.answered):
-            owned.answered = True
-            self.cancel_removal(owned)
-            self.registrar.register(owned, self.topology)
+            effects += self.note_answered(owned, now)
         if head.length and owned.take_new_data(head) and not owned.has_request:
             self.start_request(owned, now)
             self.note_request(owned, now)
             owned.has_request = True
         owned.caller_closed |= head.closes or head.resets
         self.note_end(owned, head, now)
-        return [Deliver(owned.flow, message.payload)]
+        return [*effects, Deliver(owned.flow, message.payload)]
+
+    def note_answered(self, owned: OwnedFlow, now: float) -> list[Effect]:
+        """Record that the caller follows the upstream's acceptance; register that at the homes.
+
+        A home that has named another owner is told at once: when that one gives up, the home
+        would know none.
+        """
+        owned.answered = True
+        self.cancel_removal(owned)
+        self.registrar.register(owned, self.topology)
+        if not owned.contested:
+            return []
+        return self.registrar.flush(self.flows, self.topology, now)
 
     def on_upstream_packet(self, event: UpstreamPacket) -> list[Effect]:
         """Send an upstream's packet to the caller; handle a caller's packet that it returned."""
@@ -161,6 +173,13 @@
         """
         return rival.answered and not owned.answered
 
+    def forget_entry(self, flow: FlowKey) -> None:
+        """Remove a flow's tentative entry; the registration of another owner may be needed again.
+
+        The caller may follow that owner, which does not register again.
+        """
+        self.directory.remove_tentative(flow)
+
     def on_accepted(self, owned: OwnedStream, head: StreamHeader, now: float) -> list[Effect]:
         """Record that the upstream has accepted a flow; notify its homes and its balancer."""
         if owned.accepted is not None:
--- a/src/heatheryoke/wire/messages.capnp
+++ b/src/heatheryoke/wire/messages.capnp
@@ -42,7 +42,7 @@
 struct Yield {
   flow @0 :Data;
   owner @1 :Text;
-  generation @2 :UInt32;
+  generation @2 :UInt32 = 4294967295;
   answered @3 :Bool;
 }
 
--- a/tests/test_contested_flows.py
+++ b/tests/test_contested_flows.py
@@ -1,12 +1,16 @@
 """Tests of flows that several agents own or place, with the messages between all of them."""
 
+from math import inf
+
 from heatheryoke.core.effects import AnswerCaller, Deliver, SendForward, SendPeer
 from heatheryoke.core.events import ForwardArrived, PeerMessageArrived, Tick, UpstreamPacket
-from heatheryoke.core.messages import Yield
+from heatheryoke.core.messages import Registrations, Visit, Yield
+from heatheryoke.core.sent_openings import SentOpening
+from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Address
 from heatheryoke.platform.packets import BOUNCED
 from tests.test_flow_owners import make_registration, register
-from tests.test_refusals import home_names
+from tests.test_refusals import ask_homes, home_names, other_host, refuse, silence
 from tests.test_streams import (
     ACK,
     CODEC,
@@ -72,6 +76,21 @@
 class TestContestedFlows:
     """Guards against resets of open flows that were placed at more than one upstream."""
 
+    def test_two_owners_that_no_caller_follows_settle_in_a_few_messages(self):
+        """A home that owns the flow tells an owner that precedes it to yield; that one registers
+        again, at every tick, while no caller has answered either.
+        """
+        worst = {}
+        for number in range(1, 30):
+            flow = flow_of(number)
+            fleet = Fleet()
+            home, other = home_names(flow)[0], other_host(flow)
+            fleet.accept(home, flow, 500)
+            fleet.accept(other, flow, 2_000_000_000)
+            fleet.tick(3.5)
+            worst[number] = seen(fleet, Yield, flow), seen(fleet, Registrations, flow)
+        assert max(worst.values()) <= (4, 8)
+
     def test_a_flow_that_was_given_up_is_offered_to_its_upstream_again(self):
         """Guards against a search that resets a flow although its upstream holds it, since its
         agent has given it up: here by a caller's reset of another acceptance.
@@ -101,6 +120,30 @@
             effects = agent.reduce(forward(flow, packet(flow, ACK, 2, 2_000_000_001, b"GET")))
             assert not of_kind(effects, Deliver)
 
+    def test_homes_know_an_owner_of_an_open_flow_all_the_while(self):
+        """The loser's closing registration reaches the homes a tick before the answered owner's."""
+        for number in range(1, 40):
+            flow = flow_of(number)
+            fleet = Fleet()
+            first, second = [n for n in fleet.agents if n not in home_names(flow)][:2]
+            fleet.accept(first, flow, 500)
+            fleet.accept(second, flow, 2_000_000_000)
+            home = fleet.agents[home_names(flow)[0]]
+            named = home.directory.find(flow, fleet.now).registration.owner
+            loser, owner, ack = (
+                (first, second, 2_000_000_001) if named == first else (second, first, 501)
+            )
+            fleet.caller(
+                loser, flow, ACK, ack, b"GET"
+            )  # the loser gives up, and it reaches the owner
+            assert fleet.agents[owner].flows.flows[flow].answered
+            fleet.now += 0.01
+            fleet.carry(loser, fleet.agents[loser].reduce(Tick(fleet.now)))
+            refuser = next(n for n in fleet.agents if n not in (loser, owner, *home_names(flow)))
+            assert not ask_homes(
+                fleet.agents[refuser], refuse(fleet.agents[refuser], flow), fleet.agents
+            ), number
+
     def test_a_caller_that_follows_a_near_sequence_number_is_not_taken_for_the_owners(self):
         """One in 4,096 pairs of acceptances is less than 2**20 apart; the first follow-up
         acknowledges exactly the byte after the acceptance.
@@ -132,6 +175,28 @@
                 agent.reduce(forward(flow, packet(flow, ACK, 5, 501, b"GET"), now=now))
         assert flow in agent.flows.flows and agent.flows.flows[flow].answered
 
+    def test_a_home_that_gives_up_its_own_copy_still_knows_the_followed_owner(self):
+        """A copy sent another way is placed at both homes after the owner registered there; each
+        gives up as the caller follows the owner, which does not register again. A refusal then
+        resets the open flow.
+        """
+        flow = flow_of(1)
+        fleet = Fleet()
+        homes = home_names(flow)
+        owner, refuser = [name for name in fleet.agents if name not in homes][:2]
+        fleet.accept(owner, flow, 500)
+        fleet.caller(owner, flow, ACK, 501, b"GET")
+        fleet.tick(0.1)
+        assert all(fleet.agents[home].directory.find(flow, fleet.now) for home in homes)
+        for number, home in enumerate(homes, 1):
+            fleet.accept(home, flow, 1_000_000_000 * number)
+            fleet.caller(home, flow, ACK, 501, b"GET")
+        fleet.tick(1.0)
+        assert [name for name, a in fleet.agents.items() if flow in a.flows.flows] == [owner]
+        assert not ask_homes(
+            fleet.agents[refuser], refuse(fleet.agents[refuser], flow), fleet.agents
+        )
+
     def test_a_home_that_knows_the_owner_does_not_place_the_flow_again(self):
         """The acknowledgement of a first packet is lost, but the registration
         of the owner that it reached has arrived.
@@ -148,3 +213,34 @@
                 effects = home.reduce(Tick(NOW + 0.05 * step))
                 again = [e for e in of_kind(effects, SendForward) if e.to != sent.to]
                 assert not again and not of_kind(effects, Deliver), number
+
+    def test_a_home_that_was_told_to_yield_does_not_reset_the_flow(self):
+        """It yields to the owner that the caller answered, told by a `Yield`, and a copy of the
+        first packet finds no room while the other home is silent.
+        """
+        flow = flow_of(1)
+        first, second = home_names(flow)
+        home = make_agent(int(first.rsplit(".", 1)[1]))
+        accept_flow(home, flow)
+        owner = other_host(flow)
+        notice = PeerMessageArrived(NOW, Address(second, PORT), 3, Yield(flow, owner, 0, True))
+        home.reduce(notice)
+        assert flow not in home.flows.flows
+        silence(home, [home.topology.hosts[second]], 2.0)
+        assert not of_kind(refuse(home, flow), AnswerCaller)
+
+    def test_an_opening_that_was_sent_and_not_acknowledged_is_not_reset(self):
+        """A home passed the first packet to a host, which opened the flow; that the
+        host and the other home are silent shows nothing about the flow.
+        """
+        flow = flow_of(1)
+        first = home_names(flow)[0]
+        home = make_agent(int(first.rsplit(".", 1)[1]))
+        target = home.topology.hosts[other_host(flow)]
+        silence(home, [host for name, host in home.topology.hosts.items() if name != first], 0.1)
+        own_visit, visit = Visit(home.own_id, inf), Visit(name_hash(target.name), 0.0)
+        message = forward(flow, packet(flow, SYN), visited=(own_visit, visit)).message
+        home.directory.add_tentative(flow, target.name, 0, True, NOW)
+        home.sent_openings.add(SentOpening(target.address, message, NOW, 0))
+        effects = home.reduce(Tick(NOW + 0.2)) + home.reduce(Tick(NOW + 0.3))
+        assert not of_kind(effects, AnswerCaller)
