A closed flow is not remembered as given up

Cause: flows that both ends had closed filled the table of flows that a search offers to the upstream, about 33 s of a busy agent's flows, and pushed out those in use.

--- a/src/heatheryoke/core/stream_search.py
+++ b/src/heatheryoke/core/stream_search.py
@@ -109,8 +109,12 @@
         )
 
     def end_closed_flow(self, owned: OwnedFlow, now: float) -> list[Effect]:
-        """Remember a flow that is given up although the upstream has accepted it."""
-        if owned.answered or owned.accepted is not None:
+        """Remember a flow that is given up although the upstream has accepted it.
+
+        A flow that both ends have closed is not remembered.
+        """
+        is_accepted = owned.answered or owned.accepted is not None
+        if is_accepted and not (owned.caller_closed and owned.upstream_closed):
             self.released[owned.flow] = owned
             self.released.move_to_end(owned.flow)
             if len(self.released) > MAXIMUM_OFFERED:
--- a/tests/test_contested_flows.py
+++ b/tests/test_contested_flows.py
@@ -14,6 +14,7 @@
 from tests.test_streams import (
     ACK,
     CODEC,
+    FIN,
     NOW,
     PORT,
     RST,
@@ -120,6 +121,16 @@
             effects = agent.reduce(forward(flow, packet(flow, ACK, 2, 2_000_000_001, b"GET")))
             assert not of_kind(effects, Deliver)
 
+    def test_a_flow_that_both_ends_have_closed_is_not_offered_again(self):
+        """Closed flows would push out those that are still in use."""
+        agent, flow = make_agent(), flow_of(1)
+        accept_flow(agent, flow)
+        agent.reduce(forward(flow, packet(flow, FIN | ACK, 2, 501)))
+        closing = packet(flow, FIN | ACK, 501, 3, from_upstream=True)
+        agent.reduce(UpstreamPacket(NOW, flow, closing))
+        agent.reduce(Tick(NOW + 4.1))
+        assert not agent.released
+
     def test_homes_know_an_owner_of_an_open_flow_all_the_while(self):
         """The loser's closing registration reaches the homes a tick before the answered owner's."""
         for number in range(1, 40):
