--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -237,6 +237,10 @@
         self.request = b""
         self.acknowledged = first
 
+    def is_of_another(self, packet: Packet) -> bool:
+        """Return whether a packet follows the acceptance of another endpoint."""
+        return not (self.is_open or packet.has(SYN) or packet.ack == self.first)
+
 
 class Endpoint:
     """An endpoint: accepts flows, answers requests, returns packets of flows that it lacks."""
@@ -315,6 +319,8 @@
         packet = Packet(data)
         flow = (packet.src, packet.sport, packet.dst, packet.dport)
         connection = self.connections.get(flow)
+        if connection is not None and connection.is_of_another(packet):
+            connection = None
         self.site.on_arrival(self, flow, packet, connection)
         if packet.has(SYN):
             if connection is None:
@@ -357,7 +363,7 @@
     async def work(self, flow, connection: Connection, line: bytes) -> None:
         """Answer one request after its work, and send the answer until it is acknowledged."""
         await asyncio.sleep(self.site.work_s)
-        answer = b"200 " + line + b" by " + self.identity.encode() + b"\n"
+        answer = b"200 " + line.split(b" ")[0] + b" by " + self.identity.encode() + b"\n"
         start = connection.next
         connection.next = (start + len(answer)) % 2**32
         wait_s = 0.2
@@ -455,13 +461,13 @@
             self.send(ACK, self.expected)
         return self.state if self.state != "new" else "no answer"
 
-    async def request(self, text: str, deadline_s: float = 4.0) -> str:
+    async def request(self, text: str, deadline_s: float = 4.0, body_bytes: int = 0) -> str:
         """Send a request and wait for its answer; return the outcome."""
-        data = text.encode() + b"\n"
+        data = text.encode() + (b" " + b"x" * body_bytes if body_bytes else b"") + b"\n"
         self.received = b""
         ends, wait_s = now() + deadline_s, 0.2
         while now() < ends and self.state == "open":
-            self.send(ACK, self.expected, data)
+            self.send_data(data)
             if await self.wait(
                 lambda: b"\n" in self.received or self.state != "open",
                 min(wait_s, ends - now()),
@@ -474,6 +480,14 @@
         expected = b"200 " + text.encode() + b" by "
         return "served" if self.received.startswith(expected) else "mixed"
 
+    def send_data(self, data: bytes) -> None:
+        """Send all data that is not acknowledged."""
+        start = self.seq
+        for offset in range(0, len(data), DATA_BYTES):
+            self.seq = (start + offset) % 2**32
+            self.send(ACK, self.expected, data[offset : offset + DATA_BYTES])
+        self.seq = start
+
     async def close(self) -> None:
         """Close the flow."""
         if self.state == "open":
@@ -496,6 +510,7 @@
         self.next_port += 1
         flow = Flow(self, (self.ip, self.next_port), target)
         self.flows[flow.local] = flow
+        self.site.all_flows.append(flow)
         return flow
 
     def receive(self, data: bytes, sender) -> None:
@@ -545,6 +560,7 @@
         self.arrivals: list[tuple] = []
         self.runs: dict[str, list] = {}
         self.opened: dict[tuple, tuple] = {}
+        self.all_flows: list[Flow] = []
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 
     def choose_ports(self) -> None:
@@ -705,6 +721,33 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
+    async def join_edge(self) -> Host:
+        """Add a machine that clients reach, start its process, and return it."""
+        number = len(self.edges()) + 1
+        zone = ZONES[(number - 1) % 3]
+        host = Host(self, f"edge-{number}", "edge", f"127.{self.net}.1.{number}", zone)
+        self.hosts.append(host)
+        await self.start_process(host)
+        return host
+
+    async def restart(self, host: Host) -> None:
+        """Stop a process as in planned work, and wait until the platform has started it again."""
+        former = host.process
+        self.signal(host, signal.SIGTERM)
+        await former.wait()
+        while host.process is former:
+            await asyncio.sleep(0.02)
+
+    async def join(self, service: str) -> Host:
+        """Add a machine for an endpoint, start its process, and return it."""
+        number = len(self.sides()) + 1
+        ip, zone = f"127.{self.net}.2.{number}", ZONES[(number - 1) % 3]
+        host = Host(self, f"side-{number}", "side", ip, zone, service)
+        host.endpoint = Endpoint(self, host, f"i-{random.getrandbits(32):08x}")
+        self.hosts.append(host)
+        await self.start_process(host)
+        return host
+
     async def start(self) -> None:
         """Start everything and wait until all edge nodes are in rotation."""
         if not (ROOT / "target" / "deps").is_dir():
