--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -536,6 +536,7 @@
         self.record_file = (folder / "record.txt").open("w")
         self.started_at = now()
         self.slots, self.work_s = 4, 0.02
+        self.restart_delay_s = RESTART_DELAY_S
         self.cold_s, self.cold_per_s = 2.0, 0.0
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.net = random.SystemRandom().randrange(20, 250)
@@ -679,7 +680,7 @@
         code = await process.wait()
         self.note("process ended:", host.name, "code", code)
         if host.is_wanted and host.process is process:
-            await asyncio.sleep(RESTART_DELAY_S)
+            await asyncio.sleep(self.restart_delay_s)
             await self.start_process(host)
 
     def signal(self, host: Host, number: signal.Signals) -> None:
