--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -792,6 +792,17 @@
         shutil.rmtree(self.temporary, ignore_errors=True)
         self.record_file.close()
 
+    def write_summary(self) -> None:
+        """Record what each client sent and was answered, and what endpoints ran."""
+        for flow in self.all_flows:
+            times = [f"{at - self.started_at:.3f} {via} {kind}" for at, via, kind in flow.sent]
+            resets = [(f"{at - self.started_at:.3f}", kind, by) for at, kind, by in flow.resets]
+            self.note("client", *flow.local, "sent", "; ".join(times))
+            self.note("client", *flow.local, flow.state, "last answer", flow.received, *resets)
+        for line, rows in self.runs.items():
+            places = [f"{at - self.started_at:.3f} {by}" for at, by in rows]
+            self.note("ran", line.split(" ")[0], "; ".join(places))
+
     def add_client(self) -> Client:
         """Add a client with an address of its own."""
         number = len(self.clients) + 1
@@ -834,6 +845,7 @@
             await site.start()
             async with asyncio.timeout(100):
                 broken = await scenario(site)
+            site.write_summary()
             for line in broken:
                 site.note("BROKEN:", line)
             site.note("verdict:", "broken" if broken else "held")
