A foreign entry with a number of 400 digits costs that entry alone

Cause: `isfinite` raised OverflowError for an integer of a JSON text above 1.8e308. None of the two lists of expected errors (items.py, store.py) has it, so that it ended the task of the store watch. The task was started again at the same position, and read the same item again.

Ruled out: the endpoint's own report (decoded, and seen by no process while the entry was in the store), the store (answered each call), updates between processes (none was sent: no reader got as far).

Change: ranges are checked before a conversion (core/record_checks.py), and the errors at the two boundaries are no longer listed: an item of any form costs itself, a page of any form is a failed call. The position of a page is checked like the revisions of items. Numbers must not be negative any more.

--- a/src/heatheryoke/platform/store.py
+++ b/src/heatheryoke/platform/store.py
@@ -7,9 +7,10 @@
 
 import httptools
 
+from heatheryoke.core.record_checks import check_integer
 from heatheryoke.core.records import Position, StoreItem
 from heatheryoke.inventory.model import Address
-from heatheryoke.platform.items import MAXIMUM_INT64, UnreadableItemError, read_item
+from heatheryoke.platform.items import UnreadableItemError, read_item
 
 __all__ = ["RevisionCompactedError", "StoreClient", "StorePage", "StoreUnavailableError"]
 
@@ -50,9 +51,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep the store's era; raise `ValueError` if it is malformed."""
         if name.lower() == ERA_HEADER:
-            self.era = int(value)
-            if not 0 <= self.era <= MAXIMUM_INT64:
-                raise ValueError(f"era {self.era} is out of range")
+            self.era = check_integer(int(value))
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
@@ -86,7 +85,7 @@
         """Decode a body; raise `StoreUnavailableError` if it is malformed."""
         try:
             return _decode_page(body, era, items_field)
-        except (LookupError, TypeError, ValueError, AttributeError) as error:
+        except Exception as error:  # a page of any form is a failed call, not the end of the watch
             self.close()
             raise StoreUnavailableError(f"malformed response: {error!r}") from error
 
@@ -135,6 +134,12 @@
         self.reader = self.writer = None
 
 
+def _key_of(raw: Any) -> str:
+    """Return the key of an item of any form, an empty text if it has none."""
+    key = raw.get("key") if isinstance(raw, dict) else None
+    return key if isinstance(key, str) else ""
+
+
 def _decode_page(body: dict[str, Any], era: int, items_field: str) -> StorePage:
     items, problems, last_key = [], [], ""
     for raw in body[items_field]:
@@ -143,7 +148,7 @@
             items.append(item)
         if problem is not None:
             problems.append(problem)
-        last_key = str(raw.get("key", ""))
+        last_key = _key_of(raw) or last_key
     has_more = bool(body.get("hasMore"))
-    position = Position(era, int(body["currentRev"]))
+    position = Position(era, check_integer(body["currentRev"]))
     return StorePage(tuple(items), tuple(problems), position, last_key, has_more)
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -95,6 +95,58 @@
         assert decoded.record is None and not decoded.present
 
 
+# A JSON number that no float can hold: converting it, or checking it with `isfinite`, raises.
+LONG_NUMBER = 10**400
+NUMBERS_OF_A_CONFIGURATION = [
+    ("version",),
+    ("limits", "idleTimeoutMs"),
+    ("routes", 1, "timeoutMs"),
+    ("routes", 1, "targetLatencyMs"),
+    ("routes", 1, "priority"),
+    ("routes", 0, "backends", 0, "weight"),
+    ("services", 0, "maxConns"),
+    ("services", 0, "warmupS"),
+    ("services", 0, "warmupPerS"),
+]
+
+
+def replaced(value, path, field):
+    """Return a copy of a value with one of its fields replaced."""
+    copy = json.loads(json.dumps(value))
+    inner = copy
+    for step in path[:-1]:
+        inner = inner[step]
+    inner[path[-1]] = field
+    return copy
+
+
+class TestLongNumbers:
+    """An entry with a number of 400 digits ended every process's watch of the store."""
+
+    @pytest.mark.parametrize("field", ["concurrency", "warmupLeftMs", "born"])
+    def test_cost_an_upstream_its_own_entry_alone(self, field):
+        item, problem = read_item(raw_item("servers/i-1", ENDPOINT | {field: LONG_NUMBER}))
+        assert item.record is None and isinstance(problem, UnreadableItemError)
+
+    @pytest.mark.parametrize("path", NUMBERS_OF_A_CONFIGURATION, ids=lambda path: str(path[-1]))
+    def test_in_a_configuration_raise_nothing(self, path):
+        value = replaced(CONFIGURATION, path, LONG_NUMBER)
+        assert isinstance(read_item(raw_item("op/config", value))[1], UnreadableItemError)
+
+    @pytest.mark.parametrize("field", ["key", "revision"])
+    def test_in_an_item_raise_nothing(self, field):
+        item, problem = read_item(raw_item("servers/i-1", ENDPOINT) | {field: LONG_NUMBER})
+        assert item is None and isinstance(problem, UnreadableItemError)
+
+    @given(
+        st.sampled_from(sorted(ENDPOINT)),
+        st.sampled_from(["", "9" * 400, "9" * 5_000, "-" + "9" * 400, "1e400", "NaN", "[" * 900]),
+    )
+    def test_any_json_text_of_a_field_raises_nothing(self, field, text):
+        value = json.dumps(ENDPOINT | {field: "@"}).replace('"@"', text).encode()
+        read_item(raw_item("servers/i-1", value))
+
+
 class TestMalformedItems:
     @pytest.mark.parametrize(
         "changes",
@@ -167,6 +219,10 @@
         update = StoreUpdate(1, Position(0, 1), Position(0, revision), (decoded,))
         assert open_datagram(seal_datagram(1, update)).message == update
 
+    @given(JSON)
+    def test_any_form_of_an_item_raises_nothing(self, raw):
+        read_item(raw)
+
     @given(st.binary(max_size=60))
     def test_any_bytes_raise_nothing(self, data):
         for key in ("servers/i-1", "op/config"):
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -10,7 +10,7 @@
 from heatheryoke.daemons import store_watch
 from heatheryoke.daemons.store_watch import StoreWatch
 from heatheryoke.inventory.model import Address
-from heatheryoke.platform.store import StoreClient
+from heatheryoke.platform.store import StoreClient, StoreUnavailableError
 from heatheryoke.standins.stream_store import StreamStore
 
 HOST = "127.24.0.1"
@@ -45,9 +45,10 @@
         await asyncio.sleep(0.02)
 
 
-def run_with_store(steps):
+def run_with_store(steps, prepare=lambda store: None):
     async def run():
         store, recorder = StreamStore(), WatchRecorder()
+        prepare(store)
         await store.start(Address(HOST, 0))
         port = store.runner.addresses[0][1]
         task = asyncio.create_task(recorder.watch(port).run())
@@ -147,6 +148,51 @@
 
         run_with_store(steps)
 
+    @pytest.mark.parametrize("position", ["[]", "null", "9" * 400, "1e400", "-1"])
+    def test_a_page_without_a_valid_position_is_a_failed_call(self, position):
+        """The conversion of such a position ended the watch."""
+        client = StoreClient(Address(HOST, 1))
+        with pytest.raises(StoreUnavailableError):
+            client.decode({"items": [], "currentRev": json.loads(position)}, 0, "items")
+
+    def test_an_event_of_another_form_costs_no_other_event(self):
+        good = {"key": "op/evacuate/north", "revision": 3, "value": ""}
+        body = {"events": [None, [], {"key": 5}, good, "text"], "currentRev": 4}
+        page = StoreClient(Address(HOST, 1)).decode(body, 0, "events")
+        assert [item.name for item in page.items] == ["north"] and len(page.problems) == 4
+
+
+class TestForeignEntries:
+    """An entry of another writer ended the watch of each process that ran, and of each that started
+    while it was there: withdrawals and drains were not seen any more, and restarts served nothing.
+    """
+
+    ENTRY = (
+        b'{"service":"desk","address":"10.0.0.1:8080","zone":"north","version":"v1",'
+        b'"concurrency":4,"state":"ready","warmupLeftMs":0,"sequence":1,"born":%s}' % (b"9" * 400)
+    )
+
+    def test_costs_a_process_that_runs_no_other_change(self):
+        async def steps(store, recorder):
+            await wait_until(lambda: recorder.readings)
+            store.put("servers/foreign", self.ENTRY)
+            await wait_until(lambda: recorder.unreadable)
+            store.put("op/evacuate/later", {})
+            await wait_until(lambda: "later" in recorder.names())
+
+        run_with_store(steps)
+
+    def test_costs_a_process_that_starts_no_other_item(self):
+        async def steps(store, recorder):
+            await wait_until(lambda: "before" in recorder.names())
+            assert recorder.unreadable
+
+        def prepare(store):
+            store.put("servers/foreign", self.ENTRY)
+            store.put("op/evacuate/before", {})
+
+        run_with_store(steps, prepare)
+
 
 class TestBackoff:
     """Load pattern: all processes lose the store at the same moment, and regain it at the same."""
