An entry that lacks a field of an endpoint's names no endpoint

Cause: `version` and `sequence` were not looked at, a missing `warmupLeftMs` counted as 0 and a missing `born` as the oldest incarnation. So each entry became a host: a home of flows, a candidate for new ones, and the newest incarnation at its address.

Change: every documented field must be there and have its type, also those that the record leaves out.

The tests for missing fields failed before for version, warmupLeftMs, sequence and born.

--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -86,6 +86,13 @@
 
 
 def _decode_endpoint(value: dict[str, Any]) -> EndpointRecord:
+    """Return the record of an entry, which has all fields that an endpoint writes.
+
+    An entry that lacks one is another writer's and names no endpoint to use, so that fields that
+    the record leaves out are checked, too.
+    """
+    check_name(value["version"])  # of the endpoint's software
+    check_integer(value["sequence"])  # number of this heartbeat
     return EndpointRecord(
         check_name(value["service"]),
         Address.parse(check_name(value["address"])),
@@ -93,8 +100,8 @@
         # slots: requests served concurrently
         max(1, check_integer(value["concurrency"], 0, MAXIMUM_SLOTS)),
         IS_DRAINING_BY_STATE[value["state"]],
-        check_number(_seconds(value.get("warmupLeftMs", 0)), 0, MAXIMUM_COLD_S),
-        check_integer(value.get("born", 0)),  # start of this incarnation; another may reuse its id
+        check_number(_seconds(value["warmupLeftMs"]), 0, MAXIMUM_COLD_S),
+        check_integer(value["born"]),  # start of this incarnation; another may reuse its id
     )
 
 
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -167,6 +167,15 @@
             {"born": True},
             {"born": float("inf")},
             {"warmupLeftMs": float("nan")},
+            {"warmupLeftMs": None},
+            {"born": 1.5},
+            {"born": None},
+            {"version": 1},
+            {"version": None},
+            {"sequence": "4"},
+            {"sequence": 4.5},
+            {"sequence": -1},
+            {"state": ["ready"]},
         ],
         ids=str,
     )
@@ -174,8 +183,9 @@
         decoded, problem = read_item(raw_item("servers/i-1", ENDPOINT | changes))
         assert decoded.record is None and isinstance(problem, UnreadableItemError)
 
-    @pytest.mark.parametrize("field", ["service", "address", "zone", "concurrency", "state"])
+    @pytest.mark.parametrize("field", sorted(ENDPOINT))
     def test_upstream_with_a_missing_field_has_no_record(self, field):
+        """An entry that lacked some fields became a host, and hid another's drain."""
         value = {name: part for name, part in ENDPOINT.items() if name != field}
         assert read_item(raw_item("servers/i-1", value))[0].record is None
 
