Entries of a service that no configuration names are no hosts

Cause: the topology took every readable entry, and added its service to the configured ones. Such an entry could also hide an upstream at its address.

Change: the view uses an entry while the configuration in force lists its service or sends flows to it; the entry is kept and used as soon as one does. An agent whose service no configuration names does not read the store more often meanwhile. The configuration is set last of all that is derived from it, so that an error leaves the former one in force as a whole.

--- a/src/heatheryoke/core/records.py
+++ b/src/heatheryoke/core/records.py
@@ -85,6 +85,13 @@
     services: tuple[ServiceRecord, ...]
     idle_s: float
 
+    def service_names(self) -> frozenset[str]:
+        """Return the services that the configuration lists or sends flows to."""
+        listed = {service.name for service in self.services}
+        return frozenset(
+            listed | {share.service for route in self.routes for share in route.shares}
+        )
+
 
 class StoreItem(NamedTuple):
     """One item as of a position of the store; `record` is None if it is gone or unreadable.
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -61,6 +61,7 @@
         self.configuration: ConfigurationRecord | None = None
         self.route_table: RouteTable | None = None
         self.limits: dict[str, ServiceRecord] = {}
+        self.service_names: frozenset[str] = frozenset()
         self.position = Position()
         self.complete_to = Position()
         self.deferred = DeferredItems()
@@ -255,9 +256,10 @@
             return False
         if self.configuration is not None and record.version <= self.configuration.version:
             return False
-        self.configuration = record
         self.route_table = RouteTable(record.version, record.routes)
         self.limits = {row.name: row for row in record.services}
+        self.service_names = record.service_names()
+        self.configuration = record
         return True
 
     def configuration_item(self) -> StoreItem:
@@ -277,9 +279,15 @@
         return True
 
     def newest_by_address(self) -> dict[Address, tuple[str, EndpointRecord]]:
-        """Return the newest incarnation at each address, with its id."""
+        """Return the newest incarnation at each address, with its id.
+
+        An entry of a service that the configuration does not name is no upstream to use, so that
+        its host must not become a home of flows either.
+        """
         newest: dict[Address, tuple[str, EndpointRecord]] = {}
         for name, record in (*self.expired.items(), *self.endpoints.items()):
+            if record.service not in self.service_names:
+                continue
             other = newest.get(record.address)
             if other is None or other[1].born_ms <= record.born_ms:
                 newest[record.address] = (name, record)
@@ -310,7 +318,6 @@
         if self.configuration is None or self.route_table is None:
             return None
         records = [record for _, record in self.newest_by_address().values()]
-        service_names = self.limits.keys() | {record.service for record in records}
         hosts = tuple(self.host(record) for record in records)
         document = Document(
             self.position.revision,
@@ -318,7 +325,7 @@
             hosts,
             tuple(
                 Service(name, NO_SERVICE_ADDRESS, name, idle_s=self.configuration.idle_s)
-                for name in sorted(service_names)
+                for name in sorted(self.service_names)
             ),
             tuple(
                 Endpoint(
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -127,8 +127,10 @@
         return [*super().update_recipients(now), *active]
 
     def needs_frequent_reads(self) -> bool:
-        """Return whether this process's view lacks its own upstream."""
-        return self.topology is not None and self.host_name not in self.topology.hosts
+        """Return whether this process's view lacks its own upstream, whose service is in use."""
+        if self.topology is None or self.service not in self.view.service_names:
+            return False
+        return self.host_name not in self.topology.hosts
 
     def has_recovered_flows(self, now: float) -> bool:
         """Return True: a flow may be placed twice, since its caller follows only one acceptance."""
