The store watch reads again what the reducer did not take

Cause: the watch moved its position on before the reducer had the changes, and the application swallowed the reducer's exception, so that these changes were skipped for good. Any other unexpected exception ended the task of the watch, which was started again at the same position.

Change: the callbacks raise what the reducer raises, and the position moves on after they return. The task does not end any more, so that its restart is removed.

Ruled out: a fixed delay also for a store in a new era.

Evidence: with the position moved on first, the first new test fails; with the exception ending the task, both do.

--- a/src/heatheryoke/daemons/store_watch.py
+++ b/src/heatheryoke/daemons/store_watch.py
@@ -60,6 +60,7 @@
         on_change: Callable[[tuple[StoreItem, ...], Position, Position], None],
         on_unavailable: Callable[[str], None],
         on_unreadable: Callable[[UnreadableItemError], None],
+        on_fault: Callable[[Exception], None],
         needs_frequent_reads: Callable[[], bool],
         change_within_s: float,
         draw: Callable[[], float] = random.random,
@@ -70,6 +71,7 @@
         self.on_change = on_change
         self.on_unavailable = on_unavailable
         self.on_unreadable = on_unreadable
+        self.on_fault = on_fault
         self.needs_frequent_reads = needs_frequent_reads
         self.change_within_s = change_within_s
         self.draw = draw
@@ -83,23 +85,34 @@
         """Read and watch until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            started_at = loop.time()
             self.was_postponed = False
-            try:
-                await self.step()
-                self.backoff.succeed()
-                if not self.was_postponed:
-                    self.is_reader = True
-                    self.next_call_at = started_at + MINIMUM_CALL_INTERVAL_S
-            except (RevisionCompactedError, EraChangedError):
-                self.position = None
-            except StoreUnavailableError as error:
-                self.is_reader = False
-                self.on_unavailable(str(error))
-                self.next_call_at = loop.time() + self.backoff.fail()
+            await self.call_once(loop.time())
             while self.next_call_at > loop.time():
                 await asyncio.sleep(self.next_call_at - loop.time())
 
+    async def call_once(self, started_at: float) -> None:
+        """Make one call or complete read, and set the time of the next one."""
+        try:
+            await self.step()
+            self.backoff.succeed()
+            if not self.was_postponed:
+                self.is_reader = True
+                self.next_call_at = started_at + MINIMUM_CALL_INTERVAL_S
+        except (RevisionCompactedError, EraChangedError):
+            self.position = None
+        except StoreUnavailableError as error:
+            self.on_unavailable(str(error))
+            self.retry_later()
+        except Exception as error:  # neither ends the watch nor skips changes that were not taken
+            self.on_fault(error)
+            self.position = None
+            self.retry_later()
+
+    def retry_later(self) -> None:
+        """Leave reading to others, and call again after the backoff's next delay."""
+        self.is_reader = False
+        self.next_call_at = asyncio.get_running_loop().time() + self.backoff.fail()
+
     def postpone_call(self, position: Position, sender_precedes: bool) -> None:
         """Postpone the next call: another process has sent all changes up to a position.
 
@@ -129,8 +142,8 @@
         page = await self.client.watch(ALL_KEYS, after.revision, wait_s, WATCH_MARGIN_S)
         self.check_era(page, after.era)
         self.report_problems(page)
-        self.position = max(self.position, page.position)
         self.on_change(page.items, after, page.position)
+        self.position = max(self.position, page.position)
 
     def check_era(self, page: StorePage, era: int) -> None:
         """Check that an answer is of an era, the newest that is known.
@@ -155,8 +168,8 @@
             self.report_problems(page)
             items += page.items
             after, has_more = page.last_key, page.has_more
-        self.position = position
         self.on_read(tuple(items), position)
+        self.position = position
 
     def report_problems(self, page: StorePage) -> None:
         """Report the items that could not be read."""
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -61,8 +61,6 @@
 
 # Each tick wakes the process, which has a cost; registrations and expiry tolerate this delay.
 STREAM_TICK_S = 0.1
-# Delay before the store watch is restarted after an unexpected exception.
-WATCH_RESTART_S = 1.0
 METRICS_PATH = "/metrics"
 RECEIVE_BUFFER_BYTES = 1024 * 1024
 # Stands for a message of which parts are missing.
@@ -103,6 +101,7 @@
             self.on_items_changed,
             self.on_store_unavailable,
             self.on_unreadable,
+            self.on_watch_fault,
             self.node.needs_frequent_reads,
             min(settings.leaving_within_s, settings.configuration_within_s),
         )
@@ -161,22 +160,10 @@
         self.packet_socket = self.open_port(self.packet_address(), self.on_packet_datagrams)
         self.peer_socket = self.open_port(self.peer_address, self.on_peer_datagrams)
         await self.server.start(self.settings.status)
-        self.start_watch()
+        self.watch_task = asyncio.get_running_loop().create_task(self.watch.run())
         self.tick()
         self.log.write("start", role=self.role.value, settings=str(self.file.path))
 
-    def start_watch(self) -> None:
-        """Start to watch the store."""
-        self.watch_task = asyncio.get_running_loop().create_task(self.watch.run())
-        self.watch_task.add_done_callback(self.on_watch_ended)
-
-    def on_watch_ended(self, task: asyncio.Task[None]) -> None:
-        """Restart the watch after an unexpected exception; the view stays in force meanwhile."""
-        if task.cancelled():
-            return
-        self.record.record_fault("StoreWatch", task.exception())
-        asyncio.get_running_loop().call_later(WATCH_RESTART_S, self.start_watch)
-
     async def run(self) -> int:
         """Run until stopped by a signal; return the exit code."""
         loop = asyncio.get_running_loop()
@@ -238,13 +225,17 @@
 
     def step(self, event: Event) -> None:
         """Reduce an event and execute its effects; an exception abandons this event only."""
-        handlers = self.effect_handlers
         try:
-            for effect in self.node.reduce(event):
-                handlers[type(effect)](effect)
+            self.process(event)
         except Exception as error:
             self.record.record_fault(type(event).__name__, error, rate_limited=True)
 
+    def process(self, event: Event) -> None:
+        """Reduce an event and execute its effects; raise any exception."""
+        handlers = self.effect_handlers
+        for effect in self.node.reduce(event):
+            handlers[type(effect)](effect)
+
     def tick(self) -> None:
         """Process a tick and schedule the next one."""
         self.ticker = asyncio.get_running_loop().call_later(STREAM_TICK_S, self.tick)
@@ -263,14 +254,14 @@
         self.step(Tick(self.clock()))
 
     def on_items_read(self, items: tuple[StoreItem, ...], position: Position) -> None:
-        """Process a complete read of the store."""
-        self.step(StoreRead(self.clock(), items, position))
+        """Process a complete read of the store; raise what the reducer raises."""
+        self.process(StoreRead(self.clock(), items, position))
 
     def on_items_changed(
         self, items: tuple[StoreItem, ...], after: Position, position: Position
     ) -> None:
-        """Process changes of the store."""
-        self.step(StoreChanged(self.clock(), items, after, position))
+        """Process changes of the store; raise what the reducer raises."""
+        self.process(StoreChanged(self.clock(), items, after, position))
 
     def on_store_unavailable(self, reason: str) -> None:
         """Process a failed call of the store."""
@@ -281,6 +272,10 @@
         self.record.add("unreadable_items")
         self.log.write("unreadable item", rate_limited=True, reason=str(problem))
 
+    def on_watch_fault(self, error: Exception) -> None:
+        """Count and log an unexpected exception of the watch, which then reads all items again."""
+        self.record.record_fault("StoreWatch", error, rate_limited=True)
+
     def on_peer_datagrams(self, batch: list[Datagram]) -> None:
         """Process datagrams from other processes; count invalid ones."""
         now = self.clock()
--- a/tests/test_return_load.py
+++ b/tests/test_return_load.py
@@ -10,6 +10,7 @@
 from heatheryoke.core.records import Position
 from heatheryoke.daemons.store_watch import StoreWatch
 from heatheryoke.platform.store import RevisionCompactedError, StorePage, StoreUnavailableError
+from tests.test_store_updates import raise_fault
 
 ANSWER_S = 0.004
 MESSAGE_S = 0.002
@@ -91,6 +92,7 @@
             lambda items, after, position: self.fleet.send(self, after, position),
             lambda reason: None,
             lambda problem: None,
+            raise_fault,
             lambda: False,
             CHANGE_WITHIN_S,
             draw,
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -30,7 +30,14 @@
 from heatheryoke.standins.stream_caller import Outcome
 from heatheryoke.standins.stream_site import CHANGE_WITHIN_S, FEEDS, StreamSite
 from heatheryoke.wire.peers import open_datagram, seal_datagram
-from tests.test_store_updates import NOW, PORT, address_of, configuration, endpoint
+from tests.test_store_updates import (
+    NOW,
+    PORT,
+    address_of,
+    configuration,
+    endpoint,
+    raise_fault,
+)
 
 ADDED = Address("198.18.0.9", 2_001)
 HELD = Address("198.18.0.9", 2_002)
@@ -393,6 +400,7 @@
             lambda items, after, position: self.changes.append((after, position)),
             lambda reason: None,
             lambda problem: None,
+            raise_fault,
             lambda: False,
             3.0,
         )
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -375,6 +375,11 @@
     items, problems, position, last_key, has_more = (), (), Position(0, 5), "", False
 
 
+def raise_fault(error):
+    """End a watch with an exception that it did not expect."""
+    raise error
+
+
 def play(steps, within_s=3.0):
     """Run a watch alongside `steps`; return the wait that each of its calls asked for."""
 
@@ -387,6 +392,7 @@
             lambda *reading: None,
             lambda reason: None,
             lambda problem: None,
+            raise_fault,
             lambda: False,
             within_s,
             lambda: 0.0,
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -21,19 +21,26 @@
 
     def __init__(self):
         self.readings, self.changes, self.failures, self.unreadable = [], [], [], []
+        self.faults, self.on_items = [], lambda items: None
 
     def watch(self, port):
         return StoreWatch(
             StoreClient(Address(HOST, port)),
             Backoff(lambda: 0.0),
-            lambda items, revision: self.readings.append(items),
-            lambda items, after, revision: self.changes.append(items),
+            lambda items, position: self.take(self.readings, items),
+            lambda items, after, position: self.take(self.changes, items),
             self.failures.append,
             self.unreadable.append,
+            self.faults.append,
             lambda: True,
             3.0,
         )
 
+    def take(self, taken, items):
+        """Record items, unless `on_items` raises an exception."""
+        self.on_items(items)
+        taken.append(items)
+
     def names(self):
         return [item.name for items in (*self.readings, *self.changes) for item in items]
 
@@ -194,6 +201,48 @@
         run_with_store(steps, prepare)
 
 
+class TestFaults:
+    """Changes whose reducer raised were skipped for good: the position moved on before they were
+    taken. An exception that was not expected ended the watch.
+    """
+
+    def test_changes_that_were_not_taken_are_read_again(self):
+        async def steps(store, recorder):
+            await wait_until(lambda: recorder.readings)
+            recorder.on_items = fail_once
+            store.put("op/evacuate/north", {})
+            await wait_until(lambda: "north" in recorder.names())
+            assert [str(error) for error in recorder.faults] == ["not taken"]
+
+            store.put("op/evacuate/south", {})
+            await wait_until(lambda: "south" in recorder.names())
+
+        failures = []
+
+        def fail_once(items):
+            if items and not failures:
+                failures.append(items)
+                raise RuntimeError("not taken")
+
+        run_with_store(steps)
+
+    def test_a_read_that_was_not_taken_is_repeated_after_a_delay(self):
+        """Load pattern: an error that lasts makes no process read without a pause."""
+
+        async def steps(store, recorder):
+            recorder.on_items = fail
+            calls = store.calls
+            await asyncio.sleep(1.5)
+            assert 1 <= len(recorder.faults) <= 5 and store.calls - calls <= 6
+            recorder.on_items = lambda items: None
+            await wait_until(lambda: recorder.readings)
+
+        def fail(items):
+            raise RuntimeError("not taken")
+
+        run_with_store(steps)
+
+
 class TestBackoff:
     """Load pattern: all processes lose the store at the same moment, and regain it at the same."""
 
