An effect that raises abandons no other effect of its event

One message that cannot be encoded (a configuration too long for the parts of a message, a peer's record with a value out of range) took the forwards and answers behind it with it.

Cause: one `try` around the loop over the effects, in both applications.

Change: each effect is tried on its own. A message that cannot be encoded is tried once, not once for each of hundreds of receivers.

--- a/src/heatheryoke/daemons/application.py
+++ b/src/heatheryoke/daemons/application.py
@@ -22,6 +22,7 @@
     Count,
     Deliver,
     DiscardQueued,
+    Effect,
     FetchConfiguration,
     LogChange,
     Measure,
@@ -170,19 +171,27 @@
     # Events in
 
     def step(self, events: list[Event]) -> None:
-        """Reduce events and execute their effects; an exception abandons its event only."""
-        handlers = self.effect_handlers
+        """Reduce events and execute their effects; an exception abandons its event or effect."""
         for event in events:
             try:
-                for effect in self.node.reduce(event):
-                    handlers[type(effect)](effect)
+                effects = self.node.reduce(event)
             except Exception:
-                self.metrics.count(FAULT_COUNTER, 1)
-                logger.exception(
-                    "{}: unhandled exception while processing {}",
-                    self.settings.name,
-                    type(event).__name__,
-                )
+                self.report_fault(event)
+                continue
+            for effect in effects:
+                try:
+                    self.effect_handlers[type(effect)](effect)
+                except Exception:
+                    self.report_fault(effect)
+
+    def report_fault(self, cause: Event | Effect) -> None:
+        """Count and log the exception that an event or effect has raised."""
+        self.metrics.count(FAULT_COUNTER, 1)
+        logger.exception(
+            "{}: unhandled exception while processing {}",
+            self.settings.name,
+            type(cause).__name__,
+        )
 
     def tick(self) -> None:
         """Publish a tick and schedule the next one."""
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -231,10 +231,16 @@
             self.record.record_fault(type(event).__name__, error, rate_limited=True)
 
     def process(self, event: Event) -> None:
-        """Reduce an event and execute its effects; raise any exception."""
+        """Reduce an event and execute its effects; an exception abandons an effect only.
+
+        An exception of the reducer is raised.
+        """
         handlers = self.effect_handlers
         for effect in self.node.reduce(event):
-            handlers[type(effect)](effect)
+            try:
+                handlers[type(effect)](effect)
+            except Exception as error:
+                self.record.record_fault(type(effect).__name__, error, rate_limited=True)
 
     def tick(self) -> None:
         """Process a tick and schedule the next one."""
@@ -328,8 +334,12 @@
             self.peer_socket.send(datagram, effect.to)
 
     def datagrams_of(self, message: Any) -> list[bytes]:
-        """Return the datagrams of a message; the last are kept, since it may go to many."""
+        """Return the datagrams of a message; the last are kept, since it may go to many.
+
+        A message that cannot be encoded has none, and is reported once for all receivers.
+        """
         if message is not self.last_sent[0]:
+            self.last_sent = (message, [])
             sealed = seal_datagram(self.node.epoch_of(message), message)
             self.last_sent = (message, split_message(sealed))
         return self.last_sent[1]
