An address of other digits or with leading zeros is no address

The socket library reads `010.1.0.3` as 8.1.0.3, so that the packets of one upstream would go to another host, and looks digits of other scripts up as a name, which holds the loop up.

Cause: the parts of an address were checked with `isdecimal` and `int`.

Change: `inet_pton` checks it.

--- a/src/heatheryoke/inventory/model.py
+++ b/src/heatheryoke/inventory/model.py
@@ -1,6 +1,7 @@
 """Data model of the inventory and rules, independent of their published form."""
 
 from enum import StrEnum
+from socket import AF_INET, inet_pton
 from typing import NamedTuple
 
 __all__ = [
@@ -31,12 +32,13 @@
         ip, separator, port = text.rpartition(":")
         if not separator:
             raise ValueError("must be ip:port")
-        number = int(port) if port.isdecimal() else 0
+        number = int(port) if port.isascii() and port.isdecimal() else 0
         if not 0 < number < 65_536:
             raise ValueError("port must be between 1 and 65535")
-        parts = ip.split(".")
-        if len(parts) != 4 or not all(part.isdecimal() and int(part) < 256 for part in parts):
-            raise ValueError(f"{ip!r} is not an IPv4 address")
+        try:
+            inet_pton(AF_INET, ip)
+        except OSError:
+            raise ValueError(f"{ip!r} is not an IPv4 address") from None
         return cls(ip, number)
 
 
