Records that peers send are checked like those of the store

A process that took a configuration with a version above 64 bits could send no message at all any more; one with a weight that is no number failed at each new flow of that route.

Change: record_checks.py has the range of each field once, for both sources. Positions and the version in a header stay below 2^63. Whatever a decoder raises costs that datagram alone.

--- a/src/heatheryoke/core/record_checks.py
+++ b/src/heatheryoke/core/record_checks.py
@@ -6,15 +6,21 @@
 from reprlib import repr as shortened
 from typing import Any
 
+from heatheryoke.core.records import ConfigurationRecord, EndpointRecord, Position, ServiceRecord
+from heatheryoke.core.routes import Route
+
 __all__ = [
-    "MAXIMUM_COLD_S",
     "MAXIMUM_INT64",
     "MAXIMUM_SLOTS",
     "InvalidFieldError",
+    "check_configuration",
+    "check_endpoint",
     "check_integer",
     "check_name",
     "check_number",
-    "is_name",
+    "check_position",
+    "check_route",
+    "check_service",
 ]
 
 # Revisions, versions and Unix times in milliseconds fit into 63 bits.
@@ -51,15 +57,63 @@
     return float(value)
 
 
-def is_name(value: Any) -> bool:
-    """Return whether a value is a printable text of up to `MAXIMUM_NAME_BYTES`."""
+def check_name(value: Any) -> str:
+    """Return a printable text of up to `MAXIMUM_NAME_BYTES`."""
     if not isinstance(value, str) or not value or not value.isprintable():
-        return False
-    return len(value.encode()) <= MAXIMUM_NAME_BYTES
+        raise InvalidFieldError(f"{shortened(value)} is not a printable text")
+    if len(value.encode()) > MAXIMUM_NAME_BYTES:
+        raise InvalidFieldError(f"{shortened(value)} is longer than {MAXIMUM_NAME_BYTES} bytes")
+    return value
 
 
-def check_name(value: Any) -> str:
-    """Return the name of a service, route, upstream or failure domain."""
-    if not is_name(value):
-        raise InvalidFieldError(f"{shortened(value)} is not a valid name")
+def check_boolean(value: Any) -> bool:
+    """Return a truth value."""
+    if not isinstance(value, bool):
+        raise InvalidFieldError(f"{shortened(value)} is neither true nor false")
     return value
+
+
+def check_position(position: Position) -> Position:
+    """Return a position that peer messages can carry."""
+    check_integer(position.era)
+    check_integer(position.revision)
+    return position
+
+
+def check_endpoint(record: EndpointRecord) -> EndpointRecord:
+    """Return an upstream's record; `Address.parse` has checked its address."""
+    check_name(record.service)
+    check_name(record.failure_domain)
+    check_integer(record.slots, 1, MAXIMUM_SLOTS)
+    check_number(record.cold_s, 0, MAXIMUM_COLD_S)
+    check_integer(record.born_ms)
+    return record
+
+
+def check_route(route: Route) -> Route:
+    """Return a route; `Address.parse` has checked its address."""
+    check_name(route.name)
+    for share in route.shares:
+        check_name(share.service)
+        check_number(share.weight)
+    check_boolean(route.idempotent)
+    check_number(route.target_latency_s)
+    check_number(route.timeout_s)
+    check_integer(route.priority)
+    return route
+
+
+def check_service(record: ServiceRecord) -> ServiceRecord:
+    """Return a service's limits."""
+    check_name(record.name)
+    check_integer(record.connections)
+    check_number(record.cold_s)
+    check_number(record.cold_rate)
+    return record
+
+
+def check_configuration(record: ConfigurationRecord) -> ConfigurationRecord:
+    """Return a configuration, whose routes and services are checked on their own."""
+    check_integer(record.version)
+    check_number(record.idle_s)
+    return record
--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -7,11 +7,15 @@
 from typing import Any
 
 from heatheryoke.core.record_checks import (
-    MAXIMUM_COLD_S,
     MAXIMUM_SLOTS,
+    check_configuration,
+    check_endpoint,
     check_integer,
     check_name,
     check_number,
+    check_position,
+    check_route,
+    check_service,
 )
 from heatheryoke.core.records import (
     ConfigurationRecord,
@@ -47,7 +51,7 @@
     upstream is returned without a record, as if its entry had been removed.
     """
     try:
-        key, position = check_name(raw["key"]), Position(era, check_integer(raw["revision"]))
+        key, position = check_name(raw["key"]), check_position(Position(era, raw["revision"]))
         is_deleted = bool(raw.get("tombstone"))
     except Exception as error:  # an item of another form costs no other item
         reason = f"{error!r} in {shortened(raw)}"
@@ -93,54 +97,59 @@
     """
     check_name(value["version"])  # of the endpoint's software
     check_integer(value["sequence"])  # number of this heartbeat
-    return EndpointRecord(
-        check_name(value["service"]),
-        Address.parse(check_name(value["address"])),
-        check_name(value["zone"]),
-        # slots: requests served concurrently
-        max(1, check_integer(value["concurrency"], 0, MAXIMUM_SLOTS)),
-        IS_DRAINING_BY_STATE[value["state"]],
-        check_number(_seconds(value["warmupLeftMs"]), 0, MAXIMUM_COLD_S),
-        check_integer(value["born"]),  # start of this incarnation; another may reuse its id
+    return check_endpoint(
+        EndpointRecord(
+            value["service"],
+            Address.parse(check_name(value["address"])),
+            value["zone"],
+            # slots: requests served concurrently
+            max(1, check_integer(value["concurrency"], 0, MAXIMUM_SLOTS)),
+            IS_DRAINING_BY_STATE[value["state"]],
+            _seconds(value["warmupLeftMs"]),
+            value["born"],  # start of this incarnation; another may reuse its id
+        )
     )
 
 
 def _decode_configuration(value: dict[str, Any]) -> ConfigurationRecord:
-    return ConfigurationRecord(
-        check_integer(value["version"]),
-        tuple(_decode_route(entry) for entry in value["routes"]),
-        tuple(_decode_service(entry) for entry in value["services"]),
-        _seconds(value["limits"]["idleTimeoutMs"]),  # idle time after which a flow expires
+    return check_configuration(
+        ConfigurationRecord(
+            value["version"],
+            tuple(_decode_route(entry) for entry in value["routes"]),
+            tuple(_decode_service(entry) for entry in value["services"]),
+            _seconds(value["limits"]["idleTimeoutMs"]),  # idle time after which a flow expires
+        )
     )
 
 
 def _decode_route(entry: dict[str, Any]) -> Route:
     backends = entry.get("backends")  # weighted services, not individual upstreams
     if backends:
-        shares = tuple(
-            Share(check_name(backend["service"]), check_number(backend["weight"]))
-            for backend in backends
-        )
+        shares = tuple(Share(backend["service"], backend["weight"]) for backend in backends)
     else:
-        shares = (Share(check_name(entry["service"]), 1.0),)
+        shares = (Share(entry["service"], 1.0),)
     if entry["kind"] not in ROUTE_KINDS:
         raise UnreadableItemError(f"unknown kind {shortened(entry['kind'])}")
-    return Route(
-        check_name(entry["name"]),
-        # `host` is an IP address and `prefix` a port between slashes
-        Address.parse(f"{entry['host']}:{check_name(entry['prefix']).strip('/')}"),
-        shares,
-        entry["kind"] in IDEMPOTENT_KINDS,
-        _seconds(entry["targetLatencyMs"]),
-        _seconds(entry["timeoutMs"]),
-        check_integer(entry["priority"]),  # 0 is the highest
+    return check_route(
+        Route(
+            entry["name"],
+            # `host` is an IP address and `prefix` a port between slashes
+            Address.parse(f"{entry['host']}:{check_name(entry['prefix']).strip('/')}"),
+            shares,
+            entry["kind"] in IDEMPOTENT_KINDS,
+            _seconds(entry["targetLatencyMs"]),
+            _seconds(entry["timeoutMs"]),
+            entry["priority"],  # 0 is the highest
+        )
     )
 
 
 def _decode_service(entry: dict[str, Any]) -> ServiceRecord:
-    return ServiceRecord(
-        check_name(entry["name"]),
-        check_integer(entry.get("maxConns", 1_000)),  # concurrent flows of one upstream
-        check_number(entry.get("warmupS", 0)),
-        check_number(entry.get("warmupPerS", 0)),
+    return check_service(
+        ServiceRecord(
+            entry["name"],
+            entry.get("maxConns", 1_000),  # concurrent flows of one upstream
+            entry.get("warmupS", 0),
+            entry.get("warmupPerS", 0),
+        )
     )
--- a/src/heatheryoke/wire/peers.py
+++ b/src/heatheryoke/wire/peers.py
@@ -14,7 +14,6 @@
 import socket
 import struct
 from collections.abc import Callable
-from math import isfinite
 from typing import Any, NamedTuple
 
 from heatheryoke.core.flows import FlowKey
@@ -38,6 +37,14 @@
     StoreUpdate,
     Yield,
 )
+from heatheryoke.core.record_checks import (
+    MAXIMUM_INT64,
+    check_configuration,
+    check_endpoint,
+    check_position,
+    check_route,
+    check_service,
+)
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
@@ -176,7 +183,8 @@
 def _decode_store_update(body: bytes, era: int = 0) -> StoreUpdate:
     rank, after, revision = STORE_UPDATE.unpack_from(body)
     items = _decode_items(body, STORE_UPDATE.size, era)
-    return StoreUpdate(rank, Position(era, after), Position(era, revision), items)
+    first, last = check_position(Position(era, after)), check_position(Position(era, revision))
+    return StoreUpdate(rank, first, last, items)
 
 
 def _decode_update_of_era(body: bytes) -> StoreUpdate:
@@ -187,7 +195,7 @@
 def _decode_store_snapshot(body: bytes) -> StoreSnapshot:
     rank, era, revision = STORE_SNAPSHOT.unpack_from(body)
     items = _decode_items(body, STORE_SNAPSHOT.size, era)
-    return StoreSnapshot(rank, Position(era, revision), items)
+    return StoreSnapshot(rank, check_position(Position(era, revision)), items)
 
 
 def _decode_items(body: bytes, offset: int, era: int) -> tuple[StoreItem, ...]:
@@ -206,7 +214,7 @@
         raise ValueError(f"unknown subject {subject}")
     if flags & HAS_RECORD:
         record, offset = RECORD_DECODERS[SUBJECTS[subject]](body, offset)
-    position = Position(era, revision)
+    position = check_position(Position(era, revision))
     return StoreItem(SUBJECTS[subject], name, position, bool(flags & PRESENT), record), offset
 
 
@@ -226,13 +234,11 @@
     ip, offset = _decode_name(body, offset)
     failure_domain, offset = _decode_name(body, offset)
     port, slots, is_draining, cold_s, born_ms = ENDPOINT.unpack_from(body, offset)
-    if not isfinite(cold_s):
-        raise ValueError(f"cold_s must be finite, not {cold_s}")
-    address = Address(ip, port)
+    address = Address.parse(f"{ip}:{port}")
     record = EndpointRecord(
         service, address, failure_domain, slots, bool(is_draining), cold_s, born_ms
     )
-    return record, offset + ENDPOINT.size
+    return check_endpoint(record), offset + ENDPOINT.size
 
 
 def _decode_configuration(body: bytes, offset: int) -> tuple[ConfigurationRecord, int]:
@@ -241,24 +247,20 @@
     end = start + length
     if end > len(body):
         raise ValueError("truncated configuration")
-    try:
-        version, routes, services, idle_s = json.loads(body[start:end])
-        record = ConfigurationRecord(
-            int(version),
-            tuple(_make_route(*route) for route in routes),
-            tuple(ServiceRecord(*service) for service in services),
-            float(idle_s),
-        )
-    except (TypeError, RecursionError) as error:
-        raise ValueError(f"malformed configuration: {error}") from None
-    return record, end
+    version, routes, services, idle_s = json.loads(body[start:end])
+    record = ConfigurationRecord(
+        version,
+        tuple(_make_route(*route) for route in routes),
+        tuple(check_service(ServiceRecord(*service)) for service in services),
+        idle_s,
+    )
+    return check_configuration(record), end
 
 
 def _make_route(name: str, address: list, shares: list, *properties: Any) -> Route:
     ip, port = address
-    return Route(
-        name, Address.parse(f"{ip}:{port}"), tuple(Share(*share) for share in shares), *properties
-    )
+    parsed = Address.parse(f"{ip}:{port}")
+    return check_route(Route(name, parsed, tuple(Share(*share) for share in shares), *properties))
 
 
 def _decode_no_record(body: bytes, offset: int) -> tuple[None, int]:
@@ -384,9 +386,9 @@
         return None
     magic, version, kind, epoch = HEADER.unpack_from(data)
     decode = DECODERS.get(kind)
-    if magic != MAGIC or version != VERSION or decode is None:
+    if magic != MAGIC or version != VERSION or decode is None or epoch > MAXIMUM_INT64:
         return None
     try:
         return PeerDatagram(epoch, decode(data[HEADER.size :]))
-    except (struct.error, ValueError, UnicodeDecodeError):
+    except Exception:  # a datagram of any form costs none of those received with it
         return None
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -8,7 +8,7 @@
 
 from heatheryoke.core.effects import LogChange, PostponeStoreRead, SendPeer
 from heatheryoke.core.events import PeerMessageArrived, StoreChanged, StoreRead
-from heatheryoke.core.messages import StoreUpdate
+from heatheryoke.core.messages import ConfigurationReply, Pong, StoreUpdate
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
@@ -157,6 +157,79 @@
         assert not node.needs_frequent_reads()
 
 
+def sealed_with(item, **fields):
+    """Return a reply with a configuration of which some fields are replaced."""
+    return seal_datagram(
+        1, ConfigurationReply(item._replace(record=item.record._replace(**fields)))
+    )
+
+
+class TestMalformedRecords:
+    """A record that a peer sent was used as it was: a configuration whose version no datagram can
+    carry muted the process that took it, and a weight that is no number failed at every packet.
+    """
+
+    ITEM = configuration(2, 7)
+    ROUTE = ITEM.record.routes[0]
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"version": 10**400},
+            {"version": 2**64},
+            {"version": -1},
+            {"version": "2"},
+            {"version": float("inf")},
+            {"idle_s": 10**400},
+            {"idle_s": float("nan")},
+            {"idle_s": -1.0},
+            {"routes": 5},
+            {"routes": ((),)},
+            {"routes": (ROUTE._replace(shares=(Share("live", "heavy"),)),)},
+            {"routes": (ROUTE._replace(shares=(Share("live", -1.0),)),)},
+            {"routes": (ROUTE._replace(address=Address("nowhere", 443)),)},
+            {"routes": (ROUTE._replace(address=Address("198.18.0.1", 0)),)},
+            {"routes": (ROUTE._replace(target_latency_s=10**400),)},
+            {"routes": (ROUTE._replace(name=""),)},
+            {"services": (ServiceRecord("live", 2.5, 0.0, 0.0),)},
+            {"services": (ServiceRecord("live", 9, None, 0.0),)},
+        ],
+        ids=str,
+    )
+    def test_a_configuration_with_an_invalid_field_is_refused(self, fields):
+        assert open_datagram(sealed_with(self.ITEM)) is not None
+        assert open_datagram(sealed_with(self.ITEM, **fields)) is None
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"address": Address("nowhere", 8_000)},
+            {"address": Address("010.1.0.1", 8_000)},
+            {"address": Address("10.1.0.1", 0)},
+            {"slots": 0},
+            {"cold_s": float("nan")},
+            {"cold_s": -1.0},
+            {"cold_s": 1e9},
+            {"service": ""},
+            {"failure_domain": "\n"},
+            {"born_ms": 2**64 - 1},
+        ],
+        ids=str,
+    )
+    def test_an_upstream_with_an_invalid_field_is_refused(self, changes):
+        update = StoreUpdate(1, Position(0, 5), Position(0, 6), (endpoint(1, 6, **changes),))
+        assert open_datagram(seal_datagram(1, update)) is None
+
+    def test_a_position_that_no_answer_can_reach_is_refused(self):
+        """The receiver would take every later update for an older one."""
+        update = StoreUpdate(1, Position(0, 5), Position(0, 2**64 - 1), ())
+        assert open_datagram(seal_datagram(1, update)) is None
+
+    def test_a_version_in_a_header_that_no_configuration_has_is_refused(self):
+        assert open_datagram(seal_datagram(2**63 - 1, Pong())) is not None
+        assert open_datagram(seal_datagram(2**63, Pong())) is None
+
+
 class TestMakeStoreUpdate:
     @given(changes())
     def test_receivers_have_the_same_view_as_the_reader(self, batches):
