An unreadable route or service costs a configuration that one alone

One route that cannot be read (another kind, a field missing) kept the whole version from coming into force, and a process that started with it in the store had no configuration and served nothing.

Cause: the rows of a configuration were decoded in one piece.

Change: each route and service is decoded on its own; those that cannot be are left out and named in the log line of the unreadable item. A configuration without a list, or of whose entries none is readable, is refused as before: it would remove every route.

Evidence: the six new cases failed before.

--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -48,7 +48,8 @@
     """Return the decoded item or event of an era, and the error if it could not be decoded.
 
     The item is None for a key that is not used and for an unreadable configuration. An unreadable
-    upstream is returned without a record, as if its entry had been removed.
+    upstream is returned without a record, as if its entry had been removed. Unreadable routes and
+    services of a configuration are left out, and the error names them.
     """
     try:
         key, position = check_name(raw["key"]), check_position(Position(era, raw["revision"]))
@@ -68,28 +69,49 @@
     record, problem = _decode_value(_decode_configuration, raw)
     if record is None:
         return None, problem
-    return StoreItem(Subject.CONFIGURATION, "", position, True, record), None
+    return StoreItem(Subject.CONFIGURATION, "", position, True, record), problem
 
 
 def _decode_value(
-    decode: Callable[[Any], Any], raw: dict[str, Any]
+    decode: Callable[[Any], tuple[Any, list[str]]], raw: dict[str, Any]
 ) -> tuple[Any, UnreadableItemError | None]:
-    """Return the decoded value of an item, None with the error if that fails in any way.
+    """Return the decoded value of an item, None if that fails in any way, and what failed.
 
     Any writer may have written the value, so that no list of errors to expect would be complete.
     """
     try:
-        return decode(json.loads(base64.b64decode(raw["value"], validate=True))), None
+        record, reasons = decode(json.loads(base64.b64decode(raw["value"], validate=True)))
     except Exception as error:
-        reason = f"{raw['key']!r} revision {raw['revision']}: {error!r}"
-        return None, UnreadableItemError(reason[:MAXIMUM_REASON_LENGTH])
+        record, reasons = None, [repr(error)]
+    if not reasons:
+        return record, None
+    reason = f"{raw['key']!r} revision {raw['revision']}: {', '.join(reasons)}"
+    return record, UnreadableItemError(reason[:MAXIMUM_REASON_LENGTH])
+
+
+def _decode_rows(decode: Callable[[Any], Any], entries: Any) -> tuple[tuple[Any, ...], list[str]]:
+    """Return the rows that can be decoded, and why others cannot.
+
+    Raise `UnreadableItemError` if the entries are no list, or none of them can be decoded.
+    """
+    if not isinstance(entries, list):
+        raise UnreadableItemError(f"{shortened(entries)} is not a list")
+    rows, reasons = [], []
+    for number, entry in enumerate(entries):
+        try:
+            rows.append(decode(entry))
+        except Exception as error:
+            reasons.append(f"entry {number}: {error!r}")
+    if reasons and not rows:
+        raise UnreadableItemError(f"no entry is readable: {reasons[0]}")
+    return tuple(rows), reasons
 
 
 def _seconds(milliseconds: Any) -> float:
     return check_number(milliseconds) / MILLISECONDS_PER_S
 
 
-def _decode_endpoint(value: dict[str, Any]) -> EndpointRecord:
+def _decode_endpoint(value: dict[str, Any]) -> tuple[EndpointRecord, list[str]]:
     """Return the record of an entry, which has all fields that an endpoint writes.
 
     An entry that lacks one is another writer's and names no endpoint to use, so that fields that
@@ -97,29 +119,28 @@
     """
     check_name(value["version"])  # of the endpoint's software
     check_integer(value["sequence"])  # number of this heartbeat
-    return check_endpoint(
-        EndpointRecord(
-            value["service"],
-            Address.parse(check_name(value["address"])),
-            value["zone"],
-            # slots: requests served concurrently
-            max(1, check_integer(value["concurrency"], 0, MAXIMUM_SLOTS)),
-            IS_DRAINING_BY_STATE[value["state"]],
-            _seconds(value["warmupLeftMs"]),
-            value["born"],  # start of this incarnation; another may reuse its id
-        )
-    )
-
-
-def _decode_configuration(value: dict[str, Any]) -> ConfigurationRecord:
-    return check_configuration(
-        ConfigurationRecord(
-            value["version"],
-            tuple(_decode_route(entry) for entry in value["routes"]),
-            tuple(_decode_service(entry) for entry in value["services"]),
-            _seconds(value["limits"]["idleTimeoutMs"]),  # idle time after which a flow expires
-        )
+    record = EndpointRecord(
+        value["service"],
+        Address.parse(check_name(value["address"])),
+        value["zone"],
+        # slots: requests served concurrently
+        max(1, check_integer(value["concurrency"], 0, MAXIMUM_SLOTS)),
+        IS_DRAINING_BY_STATE[value["state"]],
+        _seconds(value["warmupLeftMs"]),
+        value["born"],  # start of this incarnation; another may reuse its id
     )
+    return check_endpoint(record), []
+
+
+def _decode_configuration(value: dict[str, Any]) -> tuple[ConfigurationRecord, list[str]]:
+    """Return a configuration with the routes and services that can be decoded."""
+    routes, route_reasons = _decode_rows(_decode_route, value["routes"])
+    services, service_reasons = _decode_rows(_decode_service, value["services"])
+    idle_s = _seconds(value["limits"]["idleTimeoutMs"])  # idle time after which a flow expires
+    record = check_configuration(ConfigurationRecord(value["version"], routes, services, idle_s))
+    return record, [f"routes {reason}" for reason in route_reasons] + [
+        f"services {reason}" for reason in service_reasons
+    ]
 
 
 def _decode_route(entry: dict[str, Any]) -> Route:
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -202,6 +202,37 @@
         assert item is None
         assert isinstance(problem, UnreadableItemError)
 
+    @pytest.mark.parametrize(
+        "entry",
+        [
+            {**CONFIGURATION["routes"][0], "host": "entry.example"},
+            {**CONFIGURATION["routes"][0], "kind": "stream"},
+            {**CONFIGURATION["routes"][0], "timeoutMs": 10**400},
+            {"name": "r-new"},
+            None,
+        ],
+        ids=["host", "kind", "timeout", "fields missing", "no object"],
+    )
+    def test_an_invalid_route_costs_no_other_route(self, entry):
+        """A process that started with such a configuration had none, and served nothing."""
+        value = {**CONFIGURATION, "routes": [entry, CONFIGURATION["routes"][1]]}
+        item, problem = read_item(raw_item("op/config", value))
+        assert [route.name for route in item.record.routes] == ["r-x73d3zj"]
+        assert isinstance(problem, UnreadableItemError)
+
+    def test_an_invalid_service_costs_no_other_service(self):
+        services = [*CONFIGURATION["services"], {"name": "other", "maxConns": "many"}]
+        value = {**CONFIGURATION, "services": services}
+        item, problem = read_item(raw_item("op/config", value))
+        assert [service.name for service in item.record.services] == ["huvo11a"]
+        assert isinstance(problem, UnreadableItemError)
+
+    @pytest.mark.parametrize("routes", ["text", {"r-1": {}}, None, [None, 5]], ids=str)
+    def test_a_configuration_without_a_readable_route_is_skipped(self, routes):
+        """Its routes would all be removed, and the flows on them reset."""
+        item, problem = read_item(raw_item("op/config", {**CONFIGURATION, "routes": routes}))
+        assert item is None and isinstance(problem, UnreadableItemError)
+
     @pytest.mark.parametrize("version", [-1, 2**64])
     def test_configuration_with_a_version_that_no_datagram_can_carry_is_skipped(self, version):
         """Every message carries the version, so none could be sent under such a configuration."""
