A read of the store that leads nowhere is not repeated without a pause

A page that says that more follow and names no further key, or a history that is lost at each call, made a process repeat its call at once: 170,000 calls in a second in the tests.

Cause: the loop over the pages ended only with the last page, and a lost history was read again without a delay however often. A key with a surrogate could not be put into the next page's query, so that no read got past it.

Change: a page that does not advance is a failed call. The first lost history after a success is read at once, as before, since what was lost may be due; the next ones wait for the backoff.

Evidence: four of the five new tests failed before (169,427, 170,578 and 117,492 calls in a second; the paging never ended). Calls after a return and after an outage are as before (test_return_load.py).

--- a/src/heatheryoke/daemons/store_watch.py
+++ b/src/heatheryoke/daemons/store_watch.py
@@ -78,6 +78,7 @@
         self.next_call_at = 0.0
         self.is_reader = False
         self.was_postponed = False
+        self.is_restarted = False
         self.position: Position | None = None
         self.era = 0
 
@@ -91,15 +92,22 @@
                 await asyncio.sleep(self.next_call_at - loop.time())
 
     async def call_once(self, started_at: float) -> None:
-        """Make one call or complete read, and set the time of the next one."""
+        """Make one call or complete read, and set the time of the next one.
+
+        A lost history is read again at once, since what it lost may be due, but not repeatedly.
+        """
         try:
             await self.step()
             self.backoff.succeed()
+            self.is_restarted = False
             if not self.was_postponed:
                 self.is_reader = True
                 self.next_call_at = started_at + MINIMUM_CALL_INTERVAL_S
         except (RevisionCompactedError, EraChangedError):
             self.position = None
+            if self.is_restarted:
+                self.retry_later()
+            self.is_restarted = True
         except StoreUnavailableError as error:
             self.on_unavailable(str(error))
             self.retry_later()
@@ -158,7 +166,10 @@
             raise EraChangedError
 
     async def read_all(self) -> None:
-        """Read all items page by page; the watch then returns the changes since the first page."""
+        """Read all items page by page; the watch then returns the changes since the first page.
+
+        Raise `StoreUnavailableError` if the pages do not advance, since the read would never end.
+        """
         items: list[StoreItem] = []
         position, after, has_more = None, "", True
         while has_more:
@@ -167,6 +178,8 @@
             self.check_era(page, position.era)
             self.report_problems(page)
             items += page.items
+            if page.has_more and page.last_key <= after:
+                raise StoreUnavailableError(f"no page follows the key {after!r}")
             after, has_more = page.last_key, page.has_more
         self.on_read(tuple(items), position)
         self.position = position
--- a/src/heatheryoke/platform/store.py
+++ b/src/heatheryoke/platform/store.py
@@ -97,7 +97,9 @@
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_s):
-                return await self.exchange(f"{path}?{urlencode(query)}")
+                # A key that an entry has may contain surrogates, which UTF-8 does not.
+                encoded = urlencode(query, errors="surrogatepass")
+                return await self.exchange(f"{path}?{encoded}")
         except TimeoutError:
             self.close()
             raise StoreUnavailableError("timeout") from None
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -7,11 +7,17 @@
 import pytest
 
 from heatheryoke.core.backoff import MAXIMUM_DELAY_S, Backoff
+from heatheryoke.core.records import Position
 from heatheryoke.daemons import store_watch
 from heatheryoke.daemons.store_watch import StoreWatch
 from heatheryoke.inventory.model import Address
-from heatheryoke.platform.store import StoreClient, StoreUnavailableError
-from heatheryoke.standins.stream_store import StreamStore
+from heatheryoke.platform.store import (
+    RevisionCompactedError,
+    StoreClient,
+    StorePage,
+    StoreUnavailableError,
+)
+from heatheryoke.standins.stream_store import PAGE_ITEMS, StreamStore
 
 HOST = "127.24.0.1"
 
@@ -201,6 +207,74 @@
         run_with_store(steps, prepare)
 
 
+class FakeStore:
+    """Answers each call by a function, and counts the calls."""
+
+    def __init__(self, answer):
+        self.answer, self.calls = answer, 0
+
+    async def read_range(self, prefix, after, timeout_s):
+        self.calls += 1
+        await asyncio.sleep(0)
+        return self.answer(after)
+
+    async def watch(self, prefix, after, wait_s, timeout_s):
+        raise RevisionCompactedError
+
+
+def calls_within(answer, seconds):
+    """Return how many calls a watch makes of a store that answers by a function."""
+
+    async def run():
+        recorder, client = WatchRecorder(), FakeStore(answer)
+        watch = recorder.watch(1)
+        watch.client = client
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(seconds)
+        assert not task.done()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return client.calls
+
+    return asyncio.run(run())
+
+
+class TestRepetition:
+    """Load pattern: an answer that leads nowhere makes every process of a fleet repeat its call;
+    without a pause that takes all calls that the store allows, and the processor of each host.
+    """
+
+    def test_pages_that_do_not_advance_end_a_read(self):
+        page = StorePage((), (), Position(0, 5), "", True)
+        assert calls_within(lambda after: page, 1.0) <= 6
+
+    def test_a_page_that_repeats_itself_ends_a_read(self):
+        page = StorePage((), (), Position(0, 5), "servers/i-1", True)
+        assert calls_within(lambda after: page, 1.0) <= 10
+
+    def test_a_history_that_is_always_lost_is_read_at_the_pace_of_failed_calls(self):
+        def answer(after):
+            raise RevisionCompactedError
+
+        assert calls_within(answer, 1.0) <= 6
+
+    def test_a_history_that_is_lost_after_each_read_is_read_at_the_pace_of_a_reader(self):
+        page = StorePage((), (), Position(0, 5), "", False)
+        assert calls_within(lambda after: page, 1.0) <= 6
+
+    def test_a_key_with_a_surrogate_does_not_end_the_paging(self):
+        async def steps(store, recorder):
+            await wait_until(lambda: recorder.readings)
+            assert len(recorder.unreadable) == PAGE_ITEMS and "after" in recorder.names()
+
+        def prepare(store):
+            for number in range(PAGE_ITEMS):
+                store.put(f"a{number:02}\ud800", {})
+            store.put("op/evacuate/after", {})
+
+        run_with_store(steps, prepare)
+
+
 class TestFaults:
     """Changes whose reducer raised were skipped for good: the position moved on before they were
     taken. An exception that was not expected ended the watch.
