An exception in one item, flow or task costs that one alone

Seen by callers: a configuration that drops a service made each agent that owned an open flow of it raise at that change and at each tick, as long as the service had no entry: packets were served, but no queue, no registration and no expiry any more.

Cause: the view of a service that the document does not list raised KeyError in `on_topology`. What made one exception do so much harm are the loops: the items of an update, the periodic tasks of a tick, the waiting flows, the due removals (taken from the queue only by the call that raised) and the outbox of registrations. A view that could not be brought into force was not tried again, and an item that could not be applied had moved its position on.

Change: a service that is not listed has a view without agents. The upstreams of a service that a configuration drops are hosts for 75 s more, since open flows stay there, as they were before. core/isolation.py runs a task and returns a fault in place of its effects if it raises; a fault is counted and logged with the rate limit. An item that raises keeps its former position.

Ruled out: to keep hosts of unnamed services as leaving ones. They would be searched and pinged, and silent ones put the verdicts out of force.

So that no test passes over a fault, tests and the model raise it, except tests that ask for it.

--- a/src/heatheryoke/core/effects.py
+++ b/src/heatheryoke/core/effects.py
@@ -15,6 +15,7 @@
     "Deliver",
     "DiscardQueued",
     "Effect",
+    "Fault",
     "FetchConfiguration",
     "LogChange",
     "LogFlow",
@@ -113,6 +114,13 @@
     facts: tuple[tuple[str, Any], ...] = ()
 
 
+class Fault(NamedTuple):
+    """Count and log an unexpected exception, which has cost one item or task alone."""
+
+    kind: str
+    error: Exception
+
+
 class PostponeStoreRead(NamedTuple):
     """Postpone the next read: all changes of the store up to a position have been received.
 
@@ -150,6 +158,7 @@
     | Measure
     | LogChange
     | LogFlow
+    | Fault
     | PostponeStoreRead
     | ProbeUpstream
     | ScheduleTick
--- a/src/heatheryoke/core/linked_node.py
+++ b/src/heatheryoke/core/linked_node.py
@@ -14,6 +14,7 @@
 )
 from heatheryoke.core.events import Event, ForwardArrived, PeerMessageArrived, Tick
 from heatheryoke.core.flows import PacketKind
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.messages import Forward, OpeningAck, Ping, Pong, Relayed
 from heatheryoke.core.reachability import ACKNOWLEDGEMENT_TIMEOUT_S, LinkChange, Reachability
 from heatheryoke.core.sent_openings import MAXIMUM_RESENDS, SentOpening, SentOpenings
@@ -89,7 +90,7 @@
         """Process one event; adapt the way of each packet that it sends."""
         effects = self.route_effects(super().reduce(event), event.now)
         if type(event) is Tick and self.current_topology is not None:
-            effects += self.check_links(event.now)
+            effects += isolated(self.check_links, event.now)
         return effects
 
     def route_effects(self, effects: list[Effect], now: float, resends: int = 0) -> list[Effect]:
@@ -211,14 +212,23 @@
             if opening.resends >= MAXIMUM_RESENDS:
                 effects.append(Count("openings_given_up"))
                 continue
-            facts = (("silent", str(opening.to)), ("resends", opening.resends + 1))
-            effects += [Count("openings_resent"), LogFlow(opening.message.flow, "resent", facts)]
-            resent = self.resend_opening(opening.message, now)
-            effects += self.route_effects(resent, now, opening.resends + 1)
+            effects += isolated(self.resend_another_way, opening, now)
         if self.sent_openings:
             effects.append(ScheduleTick(ACKNOWLEDGEMENT_TIMEOUT_S))
         return effects
 
+    def resend_another_way(self, opening: SentOpening, now: float) -> list[Effect]:
+        """Send a first packet another way than to the host that has not acknowledged it."""
+        facts = (("silent", str(opening.to)), ("resends", opening.resends + 1))
+        resent = self.route_effects(
+            self.resend_opening(opening.message, now), now, opening.resends + 1
+        )
+        return [
+            Count("openings_resent"),
+            LogFlow(opening.message.flow, "resent", facts),
+            *resent,
+        ]
+
     def ping(self, now: float) -> list[Effect]:
         """Ping the failure domains whose reachability is in doubt or not shown by other traffic."""
         effects: list[Effect] = []
--- a/src/heatheryoke/core/owner.py
+++ b/src/heatheryoke/core/owner.py
@@ -12,6 +12,7 @@
 )
 from heatheryoke.core.events import PeerMessageArrived
 from heatheryoke.core.flows import FlowKey, PacketKind, describe_flow
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.messages import (
     HOP_LIMIT,
     Forward,
@@ -126,7 +127,7 @@
         effects: list[Effect] = []
         for name in list(self.flows.by_service):
             for owned in self.flows.idle(name, now - self.idle_s(name), EXPIRY_BATCH):
-                effects += self.give_up(owned, now)
+                effects += isolated(self.give_up, owned, now)
         return effects
 
     def home_names(self, flow: FlowKey, service: Service) -> list[str]:
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -6,6 +6,7 @@
 from heatheryoke.core.directory import RENEWAL_S
 from heatheryoke.core.effects import Count, Effect, SendPeer
 from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.messages import Registration, Registrations
 from heatheryoke.core.topology import Topology
 
@@ -265,13 +266,13 @@
         for number, batch in list(self.unacknowledged.items()):
             if batch.resend_at <= now:
                 del self.unacknowledged[number]
-                effects += self.resend(batch, flows, topology, now)
-        for home, registrations in self.outbox.items():
+                effects += isolated(self.resend, batch, flows, topology, now)
+        outbox, self.outbox = self.outbox, {}
+        for home, registrations in outbox.items():
             entries = tuple(registrations.values())
             for start in range(0, len(entries), BATCH_ENTRIES):
-                chunk = entries[start : start + BATCH_ENTRIES]
-                effects += self.send(Batch(home, chunk, now + RESEND_S, 0), topology)
-        self.outbox.clear()
+                batch = Batch(home, entries[start : start + BATCH_ENTRIES], now + RESEND_S, 0)
+                effects += isolated(self.send, batch, topology)
         return effects
 
     def resend(
--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -7,6 +7,7 @@
     Count,
     DiscardQueued,
     Effect,
+    Fault,
     LogChange,
     PostponeStoreRead,
     ScheduleTick,
@@ -22,6 +23,7 @@
     Tick,
 )
 from heatheryoke.core.flows import PacketKind
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.messages import (
     ConfigurationQuery,
     ConfigurationReply,
@@ -53,6 +55,7 @@
         self.view = StoreView(peer_port)
         self.current_topology: RoutedTopology | None = None
         self.previous_topology: RoutedTopology | None = None
+        self.is_outdated = False
         self.changed_at = 0.0
         self.catch_up = CatchUp()
         self.view_source = ""
@@ -264,21 +267,27 @@
         return [LogChange("store", "regained", str(self.view.position))] if was_unavailable else []
 
     def update_topology(self, changed: bool, now: float) -> list[Effect]:
-        """Bring a changed view into force."""
-        if not changed:
-            return []
+        """Bring a changed view into force; one that could not be is tried again with the next."""
+        effects: list[Effect] = [
+            Fault(f"{failed.item.subject.value} {failed.item.name}", failed.error)
+            for failed in self.view.take_failed()
+        ]
+        self.is_outdated |= changed
+        if not self.is_outdated:
+            return effects
         new_topology = self.view.topology(self.current_topology)
         if new_topology is None:
-            return []
+            return effects
+        self.is_outdated = False
         before = self.epoch
         self.previous_topology, self.current_topology = self.current_topology, new_topology
         self.changed_at = now
-        effects: list[Effect] = [Count("views_accepted")]
+        effects.append(Count("views_accepted"))
         if self.epoch != before:
             effects.append(self.configuration_log_entry(before, now))
             self.catch_up.on_in_force(self.epoch)
         effects.append(self.view_log_entry())
-        return effects + self.on_topology(now)
+        return effects + isolated(self.on_topology, now)
 
     def view_log_entry(self) -> LogChange:
         """Return the log entry of a view: the hosts added, changed or removed."""
@@ -315,15 +324,20 @@
     def on_tick(self, event: Tick) -> list[Effect]:
         """Do the periodic work that is due."""
         now = event.now
-        changed = self.view.remove_expired(now) | self.view.apply_deferred(now)
-        effects = self.update_topology(changed, now)
+        effects = isolated(self.update_view, now)
         if self.current_topology is not None:
-            effects += self.query_configuration(now)
+            effects += isolated(self.query_configuration, now)
             effects += self.advance(now)
         if self.stopping_since is not None and self.is_idle(now):
             effects.append(Stopped())
         return effects
 
+    def update_view(self, now: float) -> list[Effect]:
+        """Apply what is due in the view."""
+        changed = self.view.remove_expired(now) | self.view.apply_deferred(now)
+        changed |= self.view.forget_dropped_services(now)
+        return self.update_topology(changed, now)
+
     def former_topology(self, now: float, within_s: float) -> RoutedTopology | None:
         """Return the previous view if it was in force less than `within_s` ago, else None."""
         return self.previous_topology if now - self.changed_at < within_s else None
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -7,6 +7,7 @@
 """
 
 from math import inf
+from typing import NamedTuple
 
 from heatheryoke.core.records import (
     ConfigurationRecord,
@@ -24,6 +25,7 @@
     DeferredItems,
     Departures,
 )
+from heatheryoke.core.topology import NO_SERVICE_ADDRESS
 from heatheryoke.inventory.model import (
     Address,
     Document,
@@ -35,16 +37,25 @@
     Service,
 )
 
-__all__ = ["EXPIRY_GRACE_S", "StoreView"]
+__all__ = ["EXPIRY_GRACE_S", "FailedItem", "StoreView"]
 
 # Entries that expired during a store outage are back as soon as those that a return has lost.
 EXPIRY_GRACE_S = PERMIT_GRACE_S
 # Time without a disturbance after which the view contains every live upstream: the grace period
 # plus three heartbeats of the slowest known platform (1.2 s each).
 SETTLED_S = 6.0
+# How long the upstreams of a service that a configuration drops are still hosts, since flows that
+# are open on them stay there: longer than any flow lives (60 s).
+DROPPED_SERVICE_S = 75.0
 # Flow limit of an upstream whose service is not in the configuration.
 DEFAULT_CONNECTIONS = 1_000
-NO_SERVICE_ADDRESS = Address("0.0.0.0", 0)
+
+
+class FailedItem(NamedTuple):
+    """An item that could not be applied, and the exception that it raised."""
+
+    item: StoreItem
+    error: Exception
 
 
 class StoreView:
@@ -62,10 +73,12 @@
         self.route_table: RouteTable | None = None
         self.limits: dict[str, ServiceRecord] = {}
         self.service_names: frozenset[str] = frozenset()
+        self.dropped_services: dict[str, float] = {}
         self.position = Position()
         self.complete_to = Position()
         self.deferred = DeferredItems()
         self.departures = Departures()
+        self.failed: list[FailedItem] = []
         self.returned_from_copy_at = -inf
         self.unavailable_since: float | None = None
         self.available_since = -inf
@@ -186,7 +199,7 @@
         """Apply the deferred items that are due; return whether the topology changes."""
         changed = False
         for item in self.deferred.take_due(self.last_answer_at):
-            changed |= APPLY_BY_SUBJECT[item.subject](self, item, now)
+            changed |= self.apply_item(item, now)
         return changed
 
     def apply(self, items: tuple[StoreItem, ...], now: float) -> bool:
@@ -197,15 +210,31 @@
         """
         changed = False
         for item in items:
-            key, held = (item.subject, item.name), self.position_of(item)
-            if item.position <= held and item.subject is not Subject.CONFIGURATION:
-                continue
-            self.deferred.discard(key)
-            self.positions[key] = max(held, item.position)
-            self.position = max(self.position, item.position)
-            changed |= APPLY_BY_SUBJECT[item.subject](self, item, now)
+            if item.position > self.position_of(item) or item.subject is Subject.CONFIGURATION:
+                self.deferred.discard((item.subject, item.name))
+                changed |= self.apply_item(item, now)
         return changed
 
+    def apply_item(self, item: StoreItem, now: float) -> bool:
+        """Apply an item; return whether the topology changes.
+
+        One that raises an exception is kept in `failed`, leaves the position held of it as it is,
+        and costs no other item.
+        """
+        try:
+            changed = APPLY_BY_SUBJECT[item.subject](self, item, now)
+        except Exception as error:
+            self.failed.append(FailedItem(item, error))
+            return False
+        self.positions[item.subject, item.name] = max(self.position_of(item), item.position)
+        self.position = max(self.position, item.position)
+        return changed
+
+    def take_failed(self) -> list["FailedItem"]:
+        """Remove and return the items that could not be applied."""
+        failed, self.failed = self.failed, []
+        return failed
+
     def apply_endpoint(self, item: StoreItem, now: float) -> bool:
         """Apply an upstream's entry; return whether it differs by more than a heartbeat."""
         record = item.record
@@ -256,12 +285,23 @@
             return False
         if self.configuration is not None and record.version <= self.configuration.version:
             return False
-        self.route_table = RouteTable(record.version, record.routes)
+        former = self.configuration.service_names() if self.configuration else frozenset()
+        route_table, named = RouteTable(record.version, record.routes), record.service_names()
+        self.configuration, self.route_table = record, route_table
         self.limits = {row.name: row for row in record.services}
-        self.service_names = record.service_names()
-        self.configuration = record
+        dropped = self.dropped_services | dict.fromkeys(former - named, now)
+        self.dropped_services = {name: at for name, at in dropped.items() if name not in named}
+        self.service_names = named | dropped.keys()
         return True
 
+    def forget_dropped_services(self, now: float) -> bool:
+        """Forget services dropped more than `DROPPED_SERVICE_S` ago; return whether any was."""
+        due = [name for name, at in self.dropped_services.items() if now - at >= DROPPED_SERVICE_S]
+        for name in due:
+            del self.dropped_services[name]
+        self.service_names -= set(due)
+        return bool(due)
+
     def configuration_item(self) -> StoreItem:
         """Return the store's item of the configuration in force."""
         position = self.positions[Subject.CONFIGURATION, ""]
@@ -281,8 +321,8 @@
     def newest_by_address(self) -> dict[Address, tuple[str, EndpointRecord]]:
         """Return the newest incarnation at each address, with its id.
 
-        An entry of a service that the configuration does not name is no upstream to use, so that
-        its host must not become a home of flows either.
+        An entry of a service that no configuration names is no upstream to use, so that its host
+        must not become a home of flows either.
         """
         newest: dict[Address, tuple[str, EndpointRecord]] = {}
         for name, record in (*self.expired.items(), *self.endpoints.items()):
--- a/src/heatheryoke/core/stream_admission.py
+++ b/src/heatheryoke/core/stream_admission.py
@@ -7,6 +7,7 @@
 from heatheryoke.core.effects import Count, Effect, LogChange, LogFlow
 from heatheryoke.core.flows import FlowKey, PacketKind
 from heatheryoke.core.forwarder import NO_ADDRESS
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.messages import HOP_LIMIT, Forward, Visit
 from heatheryoke.core.opening_queue import OpeningQueue, Waiting
 from heatheryoke.core.room_shares import RoomShares
@@ -177,7 +178,7 @@
         entry = Waiting(message, began, route.priority, route.target_latency_s, route.name)
         slots = self.endpoint_of(self.service).slots
         replaced = self.queue.add(message.flow, entry, now, self.service_s(), slots)
-        service = self.topology.services[self.service]
+        service = self.topology.services.get(self.service)
         refused = (
             self.refuse_flow(replaced.packet, service, "replaced in the queue") if replaced else []
         )
@@ -196,13 +197,15 @@
         self.expire_openings(now)
         service = self.topology.services.get(self.service)
         for entry in self.queue.expired(now):
-            effects += self.refuse_flow(entry.packet, service, "queue wait exceeded")
+            reason = "queue wait exceeded"
+            effects += isolated(self.refuse_flow, entry.packet, service, reason)
         if service is None or not self.can_take(now):
             for entry in self.queue.clear():
-                effects += self.place_elsewhere(entry.packet, service, now)
+                effects += isolated(self.place_elsewhere, entry.packet, service, now)
         while self.queue and self.has_room() and self.can_take(now):
             entry = self.queue.take(now, self.service_s())
-            effects += self.start_flow(entry.packet, service, now, now - entry.began)
+            waited_s = now - entry.began
+            effects += isolated(self.start_flow, entry.packet, service, now, waited_s)
         return effects
 
     def start_flow(
--- a/src/heatheryoke/core/stream_agent.py
+++ b/src/heatheryoke/core/stream_agent.py
@@ -1,12 +1,14 @@
 """Reducer of an agent whose flows are byte streams."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 from heatheryoke.core.directory import Directory, by_answer
 from heatheryoke.core.effects import Count, Effect, LogFlow, SendPeer
 from heatheryoke.core.events import ForwardArrived, PeerMessageArrived
 from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.isolation import for_each, isolated
 from heatheryoke.core.messages import HOP_LIMIT, Forward, RecoveryRequest
 from heatheryoke.core.stream_search import StreamSearch
 from heatheryoke.core.streams import OwnedStream, StreamHeader
@@ -36,6 +38,16 @@
         self.directory = Directory(MAXIMUM_ENTRIES, ENTRY_S, by_answer)
         self.has_asked_peers = False
         self.balancers: OrderedDict[Address, float] = OrderedDict()
+        self.periodic_tasks: tuple[Callable[[float], list[Effect]], ...] = (
+            self.probe,
+            self.remove_due,
+            self.end_overdue_openings,
+            self.check_upstream,
+            self.serve_queue,
+            self.expire_flows,
+            self.expire_entries,
+            self.flush_registrations,
+        )
 
     def on_forward(self, event: ForwardArrived) -> list[Effect]:
         """Deliver a caller's packet if this host owns its flow, else place or forward it."""
@@ -141,11 +153,8 @@
         self.forget_removed_hosts(now)
         if self.shares is not None:
             self.shares.retain({route.name for route in self.topology.route_table.routes.values()})
-        refusals = self.refuse_contradicted() + self.note_incarnation(now)
-        for owned in self.flows.flows.values():
-            homes = tuple(home.name for home in self.topology.homes(owned.flow))
-            if homes != owned.homes:
-                self.registrar.register(owned, self.topology)
+        refusals = isolated(self.refuse_contradicted) + isolated(self.note_incarnation, now)
+        refusals += for_each(self.flows.flows.values(), self.register_if_moved)
         if self.has_asked_peers or self.first_start:
             return refusals
         self.has_asked_peers = True
@@ -154,6 +163,13 @@
         peers = [host.address for host in hosts if host.name != self.host_name]
         return [*refusals, *(SendPeer(address, request) for address in peers)]
 
+    def register_if_moved(self, owned: OwnedStream) -> list[Effect]:
+        """Register a flow whose homes have changed."""
+        homes = tuple(home.name for home in self.topology.homes(owned.flow))
+        if homes != owned.homes:
+            self.registrar.register(owned, self.topology)
+        return []
+
     def note_incarnation(self, now: float) -> list[Effect]:
         """Have the upstream judged anew if the store lists another incarnation at its address."""
         newest = self.view.newest_by_address().get(self.upstream)
@@ -172,13 +188,24 @@
 
     def advance(self, now: float) -> list[Effect]:
         """Do periodic work: probes, expiry, the queue of new flows, and registrations."""
-        effects = self.probe(now) + self.remove_due(now)
+        effects: list[Effect] = []
+        for task in self.periodic_tasks:
+            effects += isolated(task, now)
+        return effects
+
+    def end_overdue_openings(self, now: float) -> list[Effect]:
+        """Stop counting new flows whose first request is overdue."""
         self.expire_openings(now)
-        effects += self.check_upstream(now)
-        effects += self.serve_queue(now)
-        effects += self.expire_flows(now)
+        return []
+
+    def expire_entries(self, now: float) -> list[Effect]:
+        """Drop directory entries that have expired."""
         self.directory.expire(now, EXPIRY_BATCH)
-        return effects + self.registrar.flush(self.flows, self.topology, now)
+        return []
+
+    def flush_registrations(self, now: float) -> list[Effect]:
+        """Send the registrations that are due."""
+        return self.registrar.flush(self.flows, self.topology, now)
 
     def is_idle(self, now: float) -> bool:
         """Return whether no request is in progress or waits, or the stop has timed out."""
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -15,6 +15,7 @@
 from heatheryoke.core.events import UpstreamPacket
 from heatheryoke.core.flows import FlowKey
 from heatheryoke.core.home import Home
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.linked_node import LinkedNode
 from heatheryoke.core.messages import Forward, Hint, Registration, Yield
 from heatheryoke.core.ownership import OwnedFlow
@@ -286,7 +287,8 @@
             owned = next(iter(self.scheduled_removals.values()))
             if owned.removal_due > now:
                 break
-            effects += self.give_up(owned, now)
+            del self.scheduled_removals[owned.flow]
+            effects += isolated(self.give_up, owned, now)
         return effects
 
     def expire_openings(self, now: float) -> None:
--- a/src/heatheryoke/core/topology.py
+++ b/src/heatheryoke/core/topology.py
@@ -7,10 +7,11 @@
 
 from heatheryoke.core.flows import FlowKey, service_key, service_part
 from heatheryoke.inventory.checks import name_hash
-from heatheryoke.inventory.model import Document, Endpoint, Host, HostState, Service
+from heatheryoke.inventory.model import Address, Document, Endpoint, Host, HostState, Service
 
 __all__ = [
     "HOME_COUNT",
+    "NO_SERVICE_ADDRESS",
     "WITNESS_COUNT",
     "Segment",
     "ServiceView",
@@ -20,6 +21,8 @@
 
 HOME_COUNT = 2
 WITNESS_COUNT = 3
+# The address of a service that callers reach by routes only.
+NO_SERVICE_ADDRESS = Address("0.0.0.0", 0)
 
 
 class ServiceView:
@@ -117,14 +120,20 @@
         return host.state is HostState.ACTIVE and host.failure_domain not in self.withdrawn
 
     def service_view(self, service_name: str) -> ServiceView:
-        """Return the agents of a service outside withdrawn failure domains."""
+        """Return the agents of a service outside withdrawn failure domains.
+
+        A service that the document does not list has none; its open flows may outlive it.
+        """
         view = self.service_views.get(service_name)
         if view is None:
+            service = self.services.get(service_name)
+            if service is None:
+                service = Service(service_name, NO_SERVICE_ADDRESS, service_name)
             endpoints = self.endpoints_of_service.get(service_name, ())
             hosts = [self.hosts[endpoint.host] for endpoint in endpoints]
             agents = [host for host in hosts if host.failure_domain not in self.withdrawn]
             placeable = frozenset(host.name for host in agents if self.is_placeable(host))
-            view = ServiceView(self.services[service_name], agents, placeable)
+            view = ServiceView(service, agents, placeable)
             self.service_views[service_name] = view
         return view
 
--- a/src/heatheryoke/daemons/application.py
+++ b/src/heatheryoke/daemons/application.py
@@ -22,7 +22,7 @@
     Count,
     Deliver,
     DiscardQueued,
-    Effect,
+    Fault,
     FetchConfiguration,
     LogChange,
     Measure,
@@ -99,6 +99,7 @@
             Count: self.count,
             Measure: self.measure,
             LogChange: self.log_change,
+            Fault: self.report_fault,
             Stopped: self.set_stopped,
         }
 
@@ -175,22 +176,20 @@
         for event in events:
             try:
                 effects = self.node.reduce(event)
-            except Exception:
-                self.report_fault(event)
+            except Exception as error:
+                self.report_fault(Fault(type(event).__name__, error))
                 continue
             for effect in effects:
                 try:
                     self.effect_handlers[type(effect)](effect)
-                except Exception:
-                    self.report_fault(effect)
+                except Exception as error:
+                    self.report_fault(Fault(type(effect).__name__, error))
 
-    def report_fault(self, cause: Event | Effect) -> None:
-        """Count and log the exception that an event or effect has raised."""
+    def report_fault(self, fault: Fault) -> None:
+        """Count and log an unexpected exception."""
         self.metrics.count(FAULT_COUNTER, 1)
-        logger.exception(
-            "{}: unhandled exception while processing {}",
-            self.settings.name,
-            type(cause).__name__,
+        logger.opt(exception=fault.error).error(
+            "{}: unhandled exception while processing {}", self.settings.name, fault.kind
         )
 
     def tick(self) -> None:
--- a/src/heatheryoke/measure/process_model.py
+++ b/src/heatheryoke/measure/process_model.py
@@ -12,6 +12,7 @@
     Count,
     Deliver,
     DiscardQueued,
+    Fault,
     FetchConfiguration,
     LogChange,
     Measure,
@@ -35,7 +36,7 @@
 from heatheryoke.measure.scheduler import Scheduler
 from heatheryoke.measure.upstream_model import UpstreamModel
 
-__all__ = ["Environment", "ProcessModel"]
+__all__ = ["Environment", "ProcessModel", "raise_fault"]
 
 UPSTREAM_GONE_S = 0.0002
 FIRST_PORT = 20_000
@@ -66,6 +67,11 @@
         """Return the upstream at an address."""
 
 
+def raise_fault(fault: Fault) -> None:
+    """Raise the exception that a reducer has caught, since a model of it must have none."""
+    raise fault.error
+
+
 class ProcessModel:
     """Passes events to a reducer and executes its effects."""
 
@@ -94,6 +100,7 @@
             BindFlow: self.bind_flow,
             Deliver: self.deliver,
             CloseFlow: self.close_flow,
+            Fault: raise_fault,
             AnswerCaller: self.answer_caller,
             FetchConfiguration: lambda effect: world.read_platform(self),
             DiscardQueued: lambda effect: self.queued.clear(),
--- a/src/heatheryoke/measure/stream_world.py
+++ b/src/heatheryoke/measure/stream_world.py
@@ -13,6 +13,7 @@
 from heatheryoke.core.effects import (
     AnswerCaller,
     Deliver,
+    Fault,
     ScheduleTick,
     SendForward,
     SendPeer,
@@ -41,6 +42,7 @@
 from heatheryoke.core.streams import SEQUENCE_MODULUS
 from heatheryoke.inventory.model import Address
 from heatheryoke.measure.network import Network
+from heatheryoke.measure.process_model import raise_fault
 from heatheryoke.measure.scheduler import Scheduler
 from heatheryoke.measure.store_model import StoreModel
 from heatheryoke.measure.stream_upstream_model import StreamUpstreamModel, UpstreamFault
@@ -107,6 +109,7 @@
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
             SendForward: self.send,
             SendPeer: self.send,
+            Fault: raise_fault,
             Deliver: lambda effect: self.upstream.on_packet(effect.flow, effect.payload),
             AnswerCaller: lambda effect: world.answer_caller(effect.flow, effect.payload, self),
             ScheduleTick: lambda effect: world.scheduler.after(effect.delay_s, self.tick_early),
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,14 +1,31 @@
 """An error in one effect, datagram, item or call costs that one alone, and is counted."""
 
-from heatheryoke.core.effects import Count, SendPeer
-from heatheryoke.core.events import Tick
-from heatheryoke.core.messages import Pong
+import pytest
+
+from heatheryoke.core.effects import Count, Deliver, Fault, SendPeer
+from heatheryoke.core.events import StoreChanged, Tick, UpstreamPacket
+from heatheryoke.core.messages import Pong, Registrations
+from heatheryoke.core.records import Position, Subject
+from heatheryoke.core.routes import Route, Share
+from heatheryoke.core.store_view import DROPPED_SERVICE_S
 from heatheryoke.daemons import stream_application
 from heatheryoke.daemons.json_log import JsonLog
 from heatheryoke.daemons.stream_roles import StreamAgentApplication
 from heatheryoke.daemons.stream_settings import read_stream_settings
 from heatheryoke.inventory.model import Address, Role
+from heatheryoke.platform.packets import ACK, SYN
 from tests.test_stream_settings import AGENT_SETTINGS, write_settings
+from tests.test_streams import (
+    NOW,
+    configuration,
+    endpoint,
+    flow_of,
+    forward,
+    of_kind,
+    packet,
+    withdrawal,
+)
+from tests.test_streams import make_agent as make_node
 
 PEER = Address("10.1.0.2", 7_000)
 
@@ -44,3 +61,119 @@
         application.node.reduce = lambda event: [SendPeer(PEER, message)] * 3
         application.step(Tick(1.0))
         assert len(calls) == 1 and application.record.counters == {"faults": 1}
+
+
+def fail(*arguments):
+    raise RuntimeError("unexpected")
+
+
+def change(node, *items, now=NOW):
+    """Let a node read changes of the store."""
+    end = Position(0, max(item.position.revision for item in items))
+    return node.reduce(StoreChanged(now, items, node.view.complete_to, end))
+
+
+def open_flow(node, flow):
+    """Let a node own an open flow."""
+    node.reduce(forward(flow, packet(flow, SYN), assigned=True))
+    accepted = packet(flow, SYN | ACK, acknowledged=2, from_upstream=True)
+    node.reduce(UpstreamPacket(NOW, flow, accepted))
+    node.reduce(forward(flow, packet(flow, ACK, 2, 2)))
+    assert flow in node.flows.flows
+
+
+@pytest.mark.usefixtures("expects_faults")
+class TestItems:
+    def test_an_item_that_cannot_be_applied_costs_no_other(self):
+        """The changes behind it in the same answer would never come into force."""
+        node = make_node()
+        bad = endpoint(2)._replace(position=Position(0, 100), record=5)
+        bad = bad._replace(subject=Subject.CONFIGURATION, record=configuration(9, 100).record)
+        bad = bad._replace(record=bad.record._replace(routes=(None,)))
+        effects = change(node, bad, withdrawal("north", 101))
+        assert "north" in node.view.withdrawn and len(of_kind(effects, Fault)) == 1
+        assert node.epoch == 3 and node.topology.route_table.version == 3
+
+    def test_it_is_applied_once_it_can_be(self):
+        """A position that moves on although the item was not taken hides the same item later."""
+        node = make_node()
+        item = endpoint(2, is_draining=True)._replace(position=Position(0, 100))
+        departures, node.view.departures = node.view.departures, None
+        assert of_kind(change(node, item), Fault)
+        node.view.departures = departures
+        change(node, item)
+        assert node.view.endpoints["i-2"].is_draining
+
+    def test_a_view_that_could_not_be_brought_into_force_is_tried_again(self):
+        node = make_node()
+        topology, node.view.topology = node.view.topology, fail
+        with pytest.raises(RuntimeError):
+            change(node, endpoint(9)._replace(position=Position(0, 100)))
+        node.view.topology = topology
+        node.reduce(Tick(NOW + 0.1))
+        assert "10.1.0.9" in node.topology.hosts
+
+
+@pytest.mark.usefixtures("expects_faults")
+class TestPeriodicTasks:
+    def test_one_that_raises_ends_none_after_it(self):
+        """Flows that waited, and registrations, were left where they were at each tick again."""
+        node = make_node()
+        open_flow(node, flow_of(1))
+        node.monitor.check = fail
+        effects = [effect for at in range(1, 6) for effect in node.reduce(Tick(NOW + at / 10))]
+        assert of_kind(effects, Fault)
+        sent = [row.message for row in of_kind(effects, SendPeer)]
+        assert any(isinstance(message, Registrations) for message in sent)
+
+    def test_a_removal_that_raises_is_not_repeated_for_ever(self):
+        node = make_node()
+        for port in (1, 2):
+            open_flow(node, flow_of(port))
+            node.schedule_removal(node.flows.flows[flow_of(port)], NOW)
+        closed = node.registrar.close
+        node.registrar.close = lambda owned: fail() if owned.flow == flow_of(1) else closed(owned)
+        effects = [effect for at in range(20) for effect in node.reduce(Tick(NOW + at))]
+        assert len(of_kind(effects, Fault)) == 1 and flow_of(2) not in node.flows.flows
+
+
+class TestDroppedServices:
+    """A configuration that dropped a service made each agent with open flows of it raise."""
+
+    @staticmethod
+    def drop_live(node):
+        """Bring a configuration into force that drops the service "live" but keeps its routes."""
+        item = configuration(9, 150)
+        moved = tuple(route._replace(shares=(Share("print", 1.0),)) for route in item.record.routes)
+        services = tuple(row for row in item.record.services if row.name != "live")
+        record = item.record._replace(routes=moved, services=services)
+        return change(node, item._replace(record=record))
+
+    def test_open_flows_stay_on_its_upstreams(self):
+        node, flow = make_node(), flow_of(1)
+        open_flow(node, flow)
+        self.drop_live(node)
+        assert "10.1.0.2" in node.topology.hosts
+        for at in range(10):
+            node.reduce(Tick(NOW + at / 10))
+        assert of_kind(node.reduce(forward(flow, packet(flow, ACK, 3, 2), now=NOW + 1)), Deliver)
+
+    def test_its_upstreams_are_no_hosts_after_the_longest_flow(self):
+        node = make_node()
+        open_flow(node, flow_of(1))
+        self.drop_live(node)
+        node.reduce(Tick(NOW + DROPPED_SERVICE_S - 1.0))
+        assert "10.1.0.2" in node.topology.hosts
+        node.reduce(Tick(NOW + DROPPED_SERVICE_S))
+        assert not node.topology.hosts
+
+    def test_a_flow_outlives_the_last_entry_of_its_service(self):
+        node = make_node()
+        open_flow(node, flow_of(1))
+        other = Route("o", Address("198.18.0.9", 1), (Share("print", 1.0),), True, 0.1, 1.5, 2)
+        item = configuration(9, 150, (other,))
+        item = item._replace(record=item.record._replace(services=()))
+        change(node, item)
+        for at in (1.0, DROPPED_SERVICE_S, DROPPED_SERVICE_S + 1.0):
+            node.reduce(Tick(NOW + at))
+        assert node.topology.service_view("live").agents == []
