Settings that were refused or not applied are read again

A settings file that was read while it was being written was refused, and the change was never taken if the rest came within the resolution of the modification time.

Cause: the modification time counted as seen before the file was read, and the settings counted as in use before they were applied.

Change: the time moves on when the settings are in use. An exception there costs neither the next tick nor the settings in use.

Evidence: both new tests failed before.

--- a/src/heatheryoke/daemons/settings_file.py
+++ b/src/heatheryoke/daemons/settings_file.py
@@ -18,11 +18,14 @@
     def __init__(self, path: Path, role: Role, now: float):
         self.path = path
         self.role = role
-        self.modified_ns = self.read_modified_ns()
+        self.taken_ns = self.read_modified_ns()
+        self.read_ns = self.taken_ns
         self.next_check = now + CHECK_INTERVAL_S
 
     def read(self) -> tuple[StreamSettings | None, tuple[SettingProblem, ...]]:
         """Return the settings, or None and all problems found."""
+        # Taken before the contents are read, so that a later change is not missed.
+        self.read_ns = self.read_modified_ns()
         return read_stream_settings(self.path, self.role)
 
     def read_modified_ns(self) -> int | None:
@@ -33,15 +36,22 @@
             return None
 
     def has_changed(self, now: float) -> bool:
-        """Return whether the file was modified since the last change that was reported.
+        """Return whether the file was modified since the settings in use were read.
 
-        The modification time is checked at most once in `CHECK_INTERVAL_S`.
+        The modification time is checked at most once in `CHECK_INTERVAL_S`. A file that was refused
+        still counts as modified: it may have been read while it was being written, and the rest
+        may come within the resolution of its modification time.
         """
         if now < self.next_check:
             return False
         self.next_check = now + CHECK_INTERVAL_S
         modified_ns = self.read_modified_ns()
-        if modified_ns is None or modified_ns == self.modified_ns:
-            return False
-        self.modified_ns = modified_ns
-        return True
+        return modified_ns is not None and modified_ns != self.taken_ns
+
+    def take(self) -> None:
+        """Record that the settings that were read last are in use."""
+        self.taken_ns = self.read_ns
+
+    def was_read(self) -> bool:
+        """Return whether the file is unchanged since it was read last."""
+        return self.read_ns == self.read_modified_ns()
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -209,9 +209,10 @@
             for name in settings._fields
             if getattr(settings, name) != getattr(self.settings, name)
         ]
+        self.apply_settings(settings)
         self.settings = settings
+        self.file.take()
         self.log.write("reload", changed=changed)
-        self.apply_settings(settings)
 
     def reload_if_changed(self) -> None:
         """Reload the settings if they differ from those in use, as after a signal during start."""
@@ -219,8 +220,10 @@
             self.reload()
 
     def check_settings(self) -> None:
-        """Reload the settings if their file has changed."""
-        if self.file.has_changed(self.clock()):
+        """Reload the settings if their file has changed; say once that it is refused."""
+        if not self.file.has_changed(self.clock()):
+            return
+        if not self.file.was_read() or self.file.read()[0] is not None:
             self.reload()
 
     # Events in
@@ -248,7 +251,10 @@
         """Process a tick and schedule the next one."""
         self.ticker = asyncio.get_running_loop().call_later(STREAM_TICK_S, self.tick)
         self.step(Tick(self.clock()))
-        self.check_settings()
+        try:
+            self.check_settings()
+        except Exception as error:
+            self.record.record_fault("settings", error, rate_limited=True)
 
     def schedule_tick(self, effect: ScheduleTick) -> None:
         """Process one more tick after a delay, unless one is scheduled already."""
--- a/tests/test_stream_settings.py
+++ b/tests/test_stream_settings.py
@@ -1,6 +1,7 @@
 """Settings of byte-stream daemons are validated completely; every invalid line is reported."""
 
 import asyncio
+import contextlib
 import os
 from pathlib import Path
 
@@ -156,6 +157,34 @@
         application.check_settings()
         assert application.node.service == "print"
 
+    def test_a_file_that_was_read_half_written_is_read_again(self, tmp_path):
+        """The rest may come within the resolution of the modification time, without a signal."""
+        path = write_settings(tmp_path, AGENT_SETTINGS)
+        settings, _ = read_stream_settings(path, Role.AGENT)
+        application = StreamAgentApplication(settings, path, JsonLog("a", descriptor=None))
+        changed = AGENT_SETTINGS.replace("service = live", "service = print")
+        refusals = []
+        application.log.write = lambda event, **facts: refusals.append(event)
+        for text in (changed[:40], changed[:40], changed):
+            path.write_text(text)
+            os.utime(path, ns=(1, 1))
+            application.file.next_check = 0.0
+            application.check_settings()
+        assert application.node.service == "print" and application.settings.service == "print"
+        assert refusals == ["reload refused", "reload"]
+
+    def test_settings_that_cannot_be_applied_are_tried_again(self, tmp_path):
+        path = write_settings(tmp_path, AGENT_SETTINGS)
+        settings, _ = read_stream_settings(path, Role.AGENT)
+        application = StreamAgentApplication(settings, path, JsonLog("a", descriptor=None))
+        apply, application.apply_settings = application.apply_settings, None
+        path.write_text(AGENT_SETTINGS.replace("service = live", "service = print"))
+        for handler in (None, apply):
+            application.file.next_check, application.apply_settings = 0.0, handler
+            with contextlib.suppress(TypeError):
+                application.check_settings()
+        assert application.node.service == "print" and application.settings.service == "print"
+
     def test_a_refused_connection_shows_that_the_upstream_does_not_run(self, tmp_path):
         async def run(settings, path):
             application = StreamAgentApplication(settings, path, JsonLog("a", descriptor=None))
