A document that is refused neither ends the watch nor is read without a pause

After one document with an address that holds a zero character a process never took another. One that is refused for any other reason was read again at once: 900 to 1,600 calls in 0.7 s by one process.

Cause: `inet_pton` raises ValueError for such an address, which ended the task of the watch. The platform returns a newer document without waiting, and a refused one stays newer than the version held.

Change: whatever an answer raises costs that call alone. After a document that leaves the version as it is, the watch waits as after a failed call.

--- a/src/heatheryoke/daemons/platform_client.py
+++ b/src/heatheryoke/daemons/platform_client.py
@@ -86,18 +86,27 @@
                 await asyncio.sleep(RETRY_S)
 
     async def call(self, wait_s: int) -> bool:
-        """Make one request; return whether the platform answered."""
+        """Make one request; return whether the next may follow at once.
+
+        It may not after a failed call, nor after a document that leaves the version as it is, which
+        the platform would return again without waiting.
+        """
+        before, is_document = self.version(), False
         params = {"after": str(self.version()), "wait": str(wait_s)}
         timeout = aiohttp.ClientTimeout(total=wait_s + READ_TIMEOUT_S)
         try:
             async with self.session.get(self.url, params=params, timeout=timeout) as response:
-                if response.status == 200:
+                is_document = response.status == 200
+                if is_document:
                     self.process_document(await response.read())
                 answered = response.status in (200, 304)
         except (aiohttp.ClientError, TimeoutError):
             answered = False
+        except Exception:  # a document of any form costs one call, not the watch
+            logger.exception("unhandled exception while processing an answer of the platform")
+            answered = False
         self.report_call(answered)
-        return answered
+        return answered and (not is_document or self.version() != before)
 
     def process_document(self, data: bytes) -> None:
         """Decode and check a document; pass it to `on_document` if it is valid."""
