Numbers of batches of registrations start again after the last one

A process that runs out of 32-bit numbers could not send a registration any more, so that its flows were lost with the next change of homes.

Cause: the number starts at the low bits of the start time and only rises.

Change: it is taken modulo 2^32. An acknowledgement names a batch of the last seconds, so that no number is in use twice.

Evidence: the new test failed before with struct.error.

--- a/src/heatheryoke/core/owner.py
+++ b/src/heatheryoke/core/owner.py
@@ -22,7 +22,7 @@
     Yield,
 )
 from heatheryoke.core.node import Node
-from heatheryoke.core.ownership import OwnedFlow, OwnedFlows, Registrar
+from heatheryoke.core.ownership import BATCH_NUMBERS, OwnedFlow, OwnedFlows, Registrar
 from heatheryoke.inventory.checks import name_hash
 from heatheryoke.inventory.model import Service
 
@@ -40,7 +40,7 @@
     def __init__(self, host_name: str, incarnation: int, started: float, **options: Any):
         super().__init__(host_name, incarnation, **options)
         self.flows = OwnedFlows()
-        self.registrar = Registrar(host_name, incarnation & 0xFFFFFFFF)
+        self.registrar = Registrar(host_name, incarnation % BATCH_NUMBERS)
         self.withdrawn = False
         self.hint_tokens = HINT_BURST
         self.hint_refill_at = started
--- a/src/heatheryoke/core/ownership.py
+++ b/src/heatheryoke/core/ownership.py
@@ -10,7 +10,7 @@
 from heatheryoke.core.messages import Registration, Registrations
 from heatheryoke.core.topology import Topology
 
-__all__ = ["OwnedFlow", "OwnedFlows", "Registrar"]
+__all__ = ["BATCH_NUMBERS", "OwnedFlow", "OwnedFlows", "Registrar"]
 
 RECENT_WINDOW_S = 5.0
 REMEMBERED_ANSWERS = 32
@@ -18,6 +18,8 @@
 RESEND_S = 0.3
 FIRST_REGISTRATION_S = 0.25
 MAXIMUM_RESENDS = 20
+# A message gives the number of a batch in 32 bits; the first is drawn from the start time.
+BATCH_NUMBERS = 2**32
 
 
 class OwnedFlow:
@@ -300,6 +302,6 @@
         home = topology.hosts.get(batch.home)
         if home is None:
             return []
-        self.last_batch += 1
+        self.last_batch = (self.last_batch + 1) % BATCH_NUMBERS
         self.unacknowledged[self.last_batch] = batch
         return [SendPeer(home.address, Registrations(self.last_batch, batch.entries))]
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,6 +5,7 @@
 from heatheryoke.core.effects import Count, Deliver, Fault, SendPeer
 from heatheryoke.core.events import StoreChanged, Tick, UpstreamPacket
 from heatheryoke.core.messages import Pong, Registrations
+from heatheryoke.core.ownership import BATCH_NUMBERS
 from heatheryoke.core.records import Position, Subject
 from heatheryoke.core.routes import Route, Share
 from heatheryoke.core.store_view import DROPPED_SERVICE_S
@@ -14,6 +15,7 @@
 from heatheryoke.daemons.stream_settings import read_stream_settings
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.packets import ACK, SYN
+from heatheryoke.wire.peers import open_datagram, seal_datagram
 from tests.test_stream_settings import AGENT_SETTINGS, write_settings
 from tests.test_streams import (
     NOW,
@@ -137,6 +139,20 @@
         assert len(of_kind(effects, Fault)) == 1 and flow_of(2) not in node.flows.flows
 
 
+class TestBatchNumbers:
+    def test_start_again_before_a_message_cannot_carry_them(self):
+        """After the last number no registration could be sent any more."""
+        node = make_node()
+        node.registrar.last_batch = BATCH_NUMBERS - 2
+        sent = []
+        for port in range(1, 4):
+            open_flow(node, flow_of(port))
+            sent += of_kind(node.reduce(Tick(NOW + port)), SendPeer)
+        messages = [row.message for row in sent if isinstance(row.message, Registrations)]
+        batches = [open_datagram(seal_datagram(1, message)).message.batch for message in messages]
+        assert 0 in batches and max(batches) < 100
+
+
 class TestDroppedServices:
     """A configuration that dropped a service made each agent with open flows of it raise."""
 
