A version that nobody supplies does not end the queries for another

A process that had heard of a version that never existed asked for no lower one any more, and got the next configurations only by its own reads, up to 1.8 s later.

Cause: the newest version heard of stayed the newest for good, also after the queries for it had ended without an answer.

Change: once they have, a query goes out for another version that is newer than the one in force.

Evidence: the new test failed before.

--- a/src/heatheryoke/core/catch_up.py
+++ b/src/heatheryoke/core/catch_up.py
@@ -32,10 +32,14 @@
         self.queries_left = 0
 
     def on_peer_epoch(self, epoch: int, source: Address, now: float) -> bool:
-        """Record a peer's version, newer than the one here; return whether it is the newest."""
+        """Record a peer's version, newer than the one here; return whether to ask for it.
+
+        That is the newest, unless nobody has supplied it in `MAXIMUM_QUERIES`: another version may
+        exist although it is lower.
+        """
         if epoch == self.newest_epoch:
             self.source = source
-        if epoch <= self.newest_epoch:
+        if epoch <= self.newest_epoch and (epoch == self.newest_epoch or self.queries_left > 0):
             return False
         self.newest_epoch, self.source = epoch, source
         self.queries_left = MAXIMUM_QUERIES
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -65,6 +65,17 @@
             sent += len(queries(agent.reduce(Tick(NOW + 0.1 + number * QUERY_INTERVAL_S))))
         assert sent == MAXIMUM_QUERIES
 
+    def test_are_sent_about_a_lower_version_once_nobody_has_the_newest(self):
+        """A version that never existed, above all others, ended the queries for good."""
+        agent = make_agent()
+        hear(agent, 2**60)
+        for tick in range(MAXIMUM_QUERIES + 2):
+            agent.reduce(Tick(NOW + 0.1 + tick * QUERY_INTERVAL_S))
+        later = NOW + 5.0
+        hear(agent, 9, later, BALANCER)
+        sent = agent.reduce(Tick(later + QUERY_INTERVAL_S))
+        assert queries(sent) == [(BALANCER, ConfigurationQuery(3))]
+
     def test_are_logged_once_for_each_version(self):
         agent = make_agent()
         logged = [of_kind(hear(agent, 9, NOW + number / 100), LogChange) for number in range(5)]
