An error in one call or datagram costs none of those behind it

A page of metrics that raised closed the connection, so that the calls behind it on the connection had no answer; a datagram whose decoder raised lost the batch that it was read with.

Cause: one `try` around a loop, or none.

Change: each call and each datagram is tried on its own and counted as a fault; a call is answered with 500.

--- a/src/heatheryoke/daemons/application.py
+++ b/src/heatheryoke/daemons/application.py
@@ -208,8 +208,16 @@
     def on_datagrams(self, batch: list[Datagram]) -> None:
         """Publish the events in datagrams from other processes."""
         now = self.clock()
-        events = [self.read_datagram(data, sender, now) for data, sender in batch]
-        self.packets.on_next([event for event in events if event is not None])
+        events: list[Event] = []
+        for data, sender in batch:
+            try:
+                event = self.read_datagram(data, sender, now)
+            except Exception as error:
+                self.report_fault(Fault("datagram", error))
+                continue
+            if event is not None:
+                events.append(event)
+        self.packets.on_next(events)
 
     def read_datagram(self, data: bytes, sender: Address, now: float) -> Event | None:
         """Return the event in a datagram; count an invalid datagram and return None."""
--- a/src/heatheryoke/daemons/http_server.py
+++ b/src/heatheryoke/daemons/http_server.py
@@ -13,7 +13,12 @@
 READ_BYTES = 4_096
 # Idle connections are closed after this time; probes arrive twice a second.
 IDLE_TIMEOUT_S = 15.0
-REASON_PHRASES = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+REASON_PHRASES = {
+    200: "OK",
+    404: "Not Found",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 
 
 class Reply(NamedTuple):
@@ -24,6 +29,11 @@
     content_type: str = "application/json"
 
 
+def not_found() -> Reply:
+    """Return the response to a call of an unknown path."""
+    return Reply(404)
+
+
 class RequestCollector:
     """Parser callbacks that collect the paths of complete requests."""
 
@@ -45,10 +55,16 @@
 
 
 class HttpServer:
-    """An HTTP server with one handler for each path; request methods are ignored."""
+    """An HTTP server with one handler for each path; request methods are ignored.
 
-    def __init__(self, handlers: dict[str, Callable[[], Reply]]):
+    A handler that raises an exception is reported to `on_fault`, and its call answered with 500.
+    """
+
+    def __init__(
+        self, handlers: dict[str, Callable[[], Reply]], on_fault: Callable[[Exception], None]
+    ):
         self.handlers = handlers
+        self.on_fault = on_fault
         self.server: asyncio.Server | None = None
 
     async def start(self, address: Address) -> None:
@@ -83,8 +99,12 @@
 
     def respond(self, path: str) -> bytes:
         """Return the encoded response to a request for a path."""
-        handler = self.handlers.get(path)
-        reply = handler() if handler else Reply(404)
+        handler = self.handlers.get(path, not_found)
+        try:
+            reply = handler()
+        except Exception as error:  # costs none of the calls that follow on the connection
+            self.on_fault(error)
+            reply = Reply(500)
         head = (
             f"HTTP/1.1 {reply.status} {REASON_PHRASES[reply.status]}\r\n"
             f"Content-Type: {reply.content_type}\r\nContent-Length: {len(reply.body)}\r\n\r\n"
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -94,7 +94,10 @@
         self.node = self.make_node()
         self.peer_socket: DatagramSocket | None = None
         self.packet_socket: DatagramSocket | None = None
-        self.server = HttpServer({READY_PATH: self.on_ready, METRICS_PATH: self.on_metrics})
+        self.server = HttpServer(
+            {READY_PATH: self.on_ready, METRICS_PATH: self.on_metrics},
+            lambda error: self.record.record_fault("HttpServer", error, rate_limited=True),
+        )
         self.watch = StoreWatch(
             StoreClient(settings.store),
             Backoff(random.Random(f"{settings.name}{time.time_ns()}").random),
@@ -310,7 +313,7 @@
             return open_datagram(data)
         try:
             message = self.reassembly.add(sender, data)
-        except ValueError:
+        except Exception:  # a part of any form costs none of the datagrams received with it
             return None
         return INCOMPLETE if message is None else open_datagram(message)
 
