An address with a zero character is a problem of its document

`inventory check` and each process that read such a document ended with a ValueError in place of the problem's line.

Cause: `inet_pton` raises ValueError for it, and OSError for any other text that is no address.

Evidence: one of the five new cases failed before.

--- a/src/heatheryoke/inventory/checks.py
+++ b/src/heatheryoke/inventory/checks.py
@@ -98,7 +98,7 @@
     for table, name, address in rows:
         try:
             socket.inet_pton(socket.AF_INET, address.ip)
-        except OSError:
+        except (OSError, ValueError):  # the latter for an address with a zero character
             yield Problem(table, name, f"{address.ip!r} is not an IPv4 address")
         if not 0 < address.port < 65_536:
             yield Problem(table, name, f"port {address.port} is not between 1 and 65535")
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -167,3 +167,12 @@
     @given(documents(4), documents(5), documents(9))
     def test_is_refused_for_another_base(self, old, other, new):
         assert isinstance(apply_change(other, make_change(old, new)), Failure)
+
+
+class TestAddresses:
+    @pytest.mark.parametrize("ip", ["10.0.0.1\0", "10.0.0.256", "\u0661.0.0.1", "010.0.0.1", ""])
+    def test_a_malformed_one_is_a_problem(self, ip):
+        """A zero character in an address ended the watch of each process that read it."""
+        host = Host("a", Role.AGENT, "north", Address(ip, 1))
+        reasons = [problem.reason for problem in check_document(Document(2, hosts=(host,)))]
+        assert any("is not an IPv4 address" in reason for reason in reasons)
