Postmortems of foreign entries; whole sites that run and start beside them

The new test has 17 foreign entries in the store of a site on loopback: all 24 requests in turn are served while processes run, 0 new flows reach an upstream 3 s after it reported that it drains, and all 24 are served after every process has been killed and started again.

--- a/tests/test_stream_site.py
+++ b/tests/test_stream_site.py
@@ -1,10 +1,12 @@
 """End-to-end tests of byte streams on loopback, with parts replaced while callers use them."""
 
 import asyncio
+import base64
+import json
 
 from heatheryoke.standins.stream_caller import Outcome
 from heatheryoke.standins.stream_demo import StreamDemo
-from heatheryoke.standins.stream_site import FEEDS, StreamSite
+from heatheryoke.standins.stream_site import CHANGE_WITHIN_S, FEEDS, StreamSite
 
 
 class TestDemo:
@@ -73,6 +75,67 @@
         assert sum(altered) == 0
 
 
+def foreign_entries(site):
+    """Return entries of another writer, none of which names an upstream to use."""
+    upstream = site.upstreams["agent-1"]
+    entry = json.loads(base64.b64decode(site.store.items[f"servers/{upstream.name}"]["value"]))
+    later = {"born": entry["born"] + 1}
+    return {
+        "long-number": entry | {"born": 10**400},
+        "lacks-fields": {name: entry[name] for name in ("service", "address", "zone")} | later,
+        "lacks-one-field": {name: part for name, part in entry.items() if name != "version"}
+        | later,
+        "unnamed-service": entry | later | {"service": "nowhere"},
+        "unnamed-state": entry | later | {"state": "resting"},
+        **{
+            f"nowhere-{number}": entry | {"service": "nowhere", "address": f"127.9.9.{number}:80"}
+            for number in range(1, 13)
+        },
+    }
+
+
+class TestForeignEntries:
+    """Such entries ended the view of the store, hid a drain, and had flows placed nowhere."""
+
+    def test_cost_no_flow_in_processes_that_run_or_start(self):
+        async def play():
+            site = StreamSite(seed=7)
+            await site.start()
+            try:
+                for name, value in foreign_entries(site).items():
+                    site.store.put(f"servers/foreign-{name}", value)
+                site.store.put("servers/foreign-bytes", b"\xff\xfe")
+                served = [await self.request_all(site)]
+                draining = site.upstreams["agent-1"]
+                draining.set_state("draining")
+                await asyncio.sleep(CHANGE_WITHIN_S)
+                before = draining.opened
+                served.append(await self.request_all(site))
+                late = draining.opened - before
+                for name in list(site.applications):
+                    await site.kill_process(name)
+                await asyncio.sleep(0.5)
+                for host in site.hosts.values():
+                    await site.start_process(host)
+                await asyncio.sleep(2.0)
+                served.append(await self.request_all(site))
+                return served, late
+            finally:
+                await site.close()
+
+        served, late = asyncio.run(play())
+        assert served == [24, 24, 24] and late == 0
+
+    @staticmethod
+    async def request_all(site):
+        """Return how many of 24 requests in turn, each on a flow of its own, were served."""
+        outcomes = []
+        for _ in range(24):
+            flow = (await site.add_caller()).flow(site.service_address(FEEDS))
+            outcomes.append(await flow.request(5.0))
+        return outcomes.count(Outcome.SERVED)
+
+
 class TestMetrics:
     def test_have_histograms_by_team_and_class(self):
         async def play():
