--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -387,7 +387,7 @@
 
 
 def page(era, revision, has_more=False):
-    return StorePage((), (), Position(era, revision), "", has_more)
+    return StorePage((), (), Position(era, revision), "servers/i-1", has_more)
 
 
 class TestWatchOfReturnedStore:
