--- a/src/heatheryoke/core/agent.py
+++ b/src/heatheryoke/core/agent.py
@@ -12,6 +12,7 @@
     PeerMessageArrived,
 )
 from heatheryoke.core.handover import Handover, HandoverLog
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.messages import (
     ClaimHandover,
     ClaimHandoverAck,
@@ -80,12 +81,12 @@
     def advance(self, now: float) -> list[Effect]:
         """Advance requests, expiry, renewals, registrations, recovery and handover to `now`."""
         effects = self.engine.advance(now)
-        effects += self.expire_flows(now)
+        effects += isolated(self.expire_flows, now)
         self.directory.expire(now, EXPIRY_BATCH)
-        self.renew(now)
-        effects += self.registrar.flush(self.flows, self.topology, now)
-        effects += self.recovery.advance(now, self.history.is_complete(now))
-        return effects + self.advance_handover(now)
+        effects += isolated(self.renew, now)
+        effects += isolated(self.registrar.flush, self.flows, self.topology, now)
+        effects += isolated(self.recovery.advance, now, self.history.is_complete(now))
+        return effects + isolated(self.advance_handover, now)
 
     def advance_handover(self, now: float) -> list[Effect]:
         """While stopping, hand over this witness's claims once no work is in progress."""
--- a/src/heatheryoke/core/owner.py
+++ b/src/heatheryoke/core/owner.py
@@ -141,15 +141,16 @@
             if homes != owned.homes:
                 self.registrar.register(owned, self.topology)
 
-    def renew(self, now: float) -> None:
+    def renew(self, now: float) -> list[Effect]:
         """Queue the first registrations and the renewals that are due."""
         for owned in self.registrar.take_due_first(now):
             if self.flows.flows.get(owned.flow) is owned:
                 self.registrar.register(owned, self.topology)
         for owned in self.registrar.take_due_renewals(now, RENEWAL_BATCH):
             if self.flows.flows.get(owned.flow) is owned:
-                self.registrar.register(owned, self.topology)
                 self.registrar.renew_later(owned, now)
+                self.registrar.register(owned, self.topology)
+        return []
 
     def on_registrations_ack(self, event: PeerMessageArrived) -> list[Effect]:
         """Stop resending an acknowledged batch."""
--- a/src/heatheryoke/core/request_dispatcher.py
+++ b/src/heatheryoke/core/request_dispatcher.py
@@ -32,7 +32,7 @@
 from heatheryoke.core.write_claims import ClaimOutcomes, WriteClaims
 from heatheryoke.inventory.model import Protocol, Service
 
-__all__ = ["RequestDispatcher", "with_jitter"]
+__all__ = ["RequestDispatcher", "RequestId", "with_jitter"]
 
 DEFAULT_TIMEOUT_S = 30.0
 CALLER_RESEND_S = 1.5
--- a/src/heatheryoke/core/request_engine.py
+++ b/src/heatheryoke/core/request_engine.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from heatheryoke.core.admission import Admission
 from heatheryoke.core.effects import (
     AnswerCaller,
     Count,
@@ -11,8 +12,9 @@
     Effect,
 )
 from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.ownership import OwnedFlow
-from heatheryoke.core.request_dispatcher import RequestDispatcher
+from heatheryoke.core.request_dispatcher import RequestDispatcher, RequestId
 from heatheryoke.core.requests import (
     ActiveRequest,
     RefusalReason,
@@ -34,27 +36,31 @@
 
     def advance(self, now: float) -> list[Effect]:
         """Advance claims, probes, queued requests and timeouts to `now`."""
-        effects = self.claims.advance(now)
-        effects += self.probe_stalled(now)
+        effects = isolated(self.claims.advance, now)
+        effects += isolated(self.probe_stalled, now)
         for admission in list(self.admissions.values()):
-            effects += self.apply_decision(admission.advance(now), now)
-        return effects + self.expire_pending(now)
-
-    def expire_pending(self, now: float) -> list[Effect]:
-        """Answer requests that have timed out, and free the slots of abandoned ones."""
-        effects: list[Effect] = []
+            effects += isolated(self.advance_admission, admission, now)
         for key, active in list(self.pending.items()):
-            if active.phase is RequestPhase.RUNNING:
-                effects += self.expire_running(active, now)
-            elif active.phase is RequestPhase.ABANDONED and now > active.deadline:
-                self.admission(active.service, now).abandon(active)
-                effects += self.claims.mark_unknown(active)
-                del self.pending[key]
-            elif active.phase is RequestPhase.WAITING and now > active.deadline:
-                self.claims.stop_waiting(active)
-                effects += self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
+            effects += isolated(self.expire, key, active, now)
         return effects
 
+    def advance_admission(self, admission: Admission, now: float) -> list[Effect]:
+        """Advance the queue of one service to `now`."""
+        return self.apply_decision(admission.advance(now), now)
+
+    def expire(self, key: RequestId, active: ActiveRequest, now: float) -> list[Effect]:
+        """Answer a request that has timed out, or free the slot of an abandoned one."""
+        if active.phase is RequestPhase.RUNNING:
+            return self.expire_running(active, now)
+        if active.phase is RequestPhase.ABANDONED and now > active.deadline:
+            del self.pending[key]
+            self.admission(active.service, now).abandon(active)
+            return self.claims.mark_unknown(active)
+        if active.phase is RequestPhase.WAITING and now > active.deadline:
+            self.claims.stop_waiting(active)
+            return self.refuse(active, RefusalReason.OUTCOME_UNKNOWN, now)
+        return []
+
     def expire_running(self, active: ActiveRequest, now: float) -> list[Effect]:
         """Time out a running request; its slot stays occupied for as long again.
 
--- a/src/heatheryoke/core/ring_node.py
+++ b/src/heatheryoke/core/ring_node.py
@@ -24,6 +24,7 @@
     PlatformUnavailable,
     Tick,
 )
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.membership import Membership
 from heatheryoke.core.messages import (
     Accusations,
@@ -195,8 +196,8 @@
             return effects
         if self.topology is None:
             return effects + self.bootstrap(now)
-        effects += self.membership.tick(now)
-        effects += self.poll(now)
+        effects += isolated(self.membership.tick, now)
+        effects += isolated(self.poll, now)
         effects += self.advance(now)
         if self.stopping_since is not None and self.is_idle(now):
             effects.append(Stopped())
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,7 +3,7 @@
 import pytest
 
 from heatheryoke.core.effects import Count, Deliver, Fault, SendPeer
-from heatheryoke.core.events import StoreChanged, Tick, UpstreamPacket
+from heatheryoke.core.events import FlowBound, StoreChanged, Tick, UpstreamPacket
 from heatheryoke.core.messages import Pong, Registrations
 from heatheryoke.core.ownership import BATCH_NUMBERS
 from heatheryoke.core.records import Position, Subject
@@ -16,6 +16,9 @@
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.packets import ACK, SYN
 from heatheryoke.wire.peers import open_datagram, seal_datagram
+from tests.test_routing import document, flow_to
+from tests.test_routing import forward as routing_forward
+from tests.test_routing import make_agent as make_request_agent
 from tests.test_stream_settings import AGENT_SETTINGS, write_settings
 from tests.test_streams import (
     NOW,
@@ -139,6 +142,22 @@
         assert len(of_kind(effects, Fault)) == 1 and flow_of(2) not in node.flows.flows
 
 
+@pytest.mark.usefixtures("expects_faults")
+class TestPeriodicTasksOfRequests:
+    def test_one_that_raises_ends_none_after_it(self):
+        """Expiry, registrations and the handover were left out at each tick."""
+        published = document()
+        node, service = make_request_agent(published), published.services[0]
+        flow = flow_to(service)
+        node.reduce(routing_forward(flow, service, assigned=True))
+        node.reduce(FlowBound(NOW, flow, 1_234))
+        node.engine.claims.advance = fail
+        effects = [effect for at in range(1, 20) for effect in node.reduce(Tick(NOW + at / 20))]
+        assert of_kind(effects, Fault)
+        sent = [row.message for row in of_kind(effects, SendPeer)]
+        assert any(isinstance(message, Registrations) for message in sent)
+
+
 class TestBatchNumbers:
     def test_start_again_before_a_message_cannot_carry_them(self):
         """After the last number no registration could be sent any more."""
