Test that any entry of the store raises nothing in a reader and a receiver

An entry, a configuration and a withdrawal in one answer, with any value in any field, go through the reducer that reads them, a datagram and the reducer that receives it. Both have the withdrawal in force and the same hosts.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,10 +1,18 @@
 """An error in one effect, datagram, item or call costs that one alone, and is counted."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from heatheryoke.core.effects import Count, Deliver, Fault, SendPeer
-from heatheryoke.core.events import FlowBound, StoreChanged, Tick, UpstreamPacket
-from heatheryoke.core.messages import Pong, Registrations
+from heatheryoke.core.events import (
+    FlowBound,
+    PeerMessageArrived,
+    StoreChanged,
+    Tick,
+    UpstreamPacket,
+)
+from heatheryoke.core.messages import Pong, Registrations, StoreUpdate
 from heatheryoke.core.ownership import BATCH_NUMBERS
 from heatheryoke.core.records import Position, Subject
 from heatheryoke.core.routes import Route, Share
@@ -14,8 +22,10 @@
 from heatheryoke.daemons.stream_roles import StreamAgentApplication
 from heatheryoke.daemons.stream_settings import read_stream_settings
 from heatheryoke.inventory.model import Address, Role
+from heatheryoke.platform.items import read_item
 from heatheryoke.platform.packets import ACK, SYN
 from heatheryoke.wire.peers import open_datagram, seal_datagram
+from tests.test_platform_items import CONFIGURATION, ENDPOINT, JSON, raw_item, replaced
 from tests.test_routing import document, flow_to
 from tests.test_routing import forward as routing_forward
 from tests.test_routing import make_agent as make_request_agent
@@ -33,6 +43,7 @@
 from tests.test_streams import make_agent as make_node
 
 PEER = Address("10.1.0.2", 7_000)
+SENDER, RECEIVER = Address("10.1.0.1", 7_000), PEER
 
 
 def make_agent(tmp_path):
@@ -212,3 +223,46 @@
         for at in (1.0, DROPPED_SERVICE_S, DROPPED_SERVICE_S + 1.0):
             node.reduce(Tick(NOW + at))
         assert node.topology.service_view("live").agents == []
+
+
+class TestAnyEntry:
+    """What a writer puts into the store raises nothing in the processes that read or receive it."""
+
+    VALUES = (
+        JSON
+        | st.integers()
+        | st.floats()
+        | st.text()
+        | st.sampled_from([10**400, 2**63, -1, "10.1.0.2:8000", "north", "live", "draining", []])
+    )
+    ENTRY = ENDPOINT | {"service": "live", "address": "10.1.0.9:8000"}
+    PATHS = st.sampled_from(
+        [
+            *((field,) for field in CONFIGURATION),
+            *((table, 0) for table in ("routes", "services")),
+            *(("routes", 0, field) for field in CONFIGURATION["routes"][0]),
+            *(("services", 0, field) for field in CONFIGURATION["services"][0]),
+        ]
+    )
+
+    @given(st.sampled_from(sorted(ENDPOINT)), VALUES, PATHS, VALUES)
+    def test_raises_nothing_in_a_reader_and_in_a_receiver(self, field, value, path, setting):
+        reader, receiver, after = make_node(1), make_node(2), Position(0, 90)
+        for node in (reader, receiver):
+            node.view.note_complete(after)
+        raws = [
+            raw_item("servers/foreign", self.ENTRY | {field: value}, 91),
+            raw_item("op/config", replaced(CONFIGURATION, path, setting), 92),
+            raw_item("op/evacuate/north", {}, 93),
+        ]
+        items = tuple(item for item, _ in map(read_item, raws) if item is not None)
+        effects = reader.reduce(StoreChanged(NOW, items, after, Position(0, 93)))
+        sent = [row.message for row in of_kind(effects, SendPeer) if row.to == RECEIVER]
+        (update,) = (message for message in sent if type(message) is StoreUpdate)
+        opened = open_datagram(seal_datagram(reader.epoch, update))
+        receiver.reduce(PeerMessageArrived(NOW, SENDER, opened.epoch, opened.message))
+        for node in (reader, receiver):
+            node.reduce(Tick(NOW + 0.1))
+            assert "north" in node.view.withdrawn
+        assert reader.topology.hosts == receiver.topology.hosts
+        assert reader.epoch == receiver.epoch
