A registration that raises costs none of its batch

Cause: one loop over the entries of a message, without isolation.

Change: each entry is processed on its own. The batch is acknowledged if all were taken, so that the owner sends it again otherwise.

Evidence: the new test failed before.

--- a/src/heatheryoke/core/home.py
+++ b/src/heatheryoke/core/home.py
@@ -8,6 +8,7 @@
 from heatheryoke.core.effects import (
     Count,
     Effect,
+    Fault,
     SendForward,
     SendPeer,
 )
@@ -16,6 +17,7 @@
     PeerMessageArrived,
 )
 from heatheryoke.core.flows import FlowKey
+from heatheryoke.core.isolation import isolated
 from heatheryoke.core.messages import (
     Forward,
     Registration,
@@ -268,11 +270,16 @@
         return [*effects, counted, *bound, *self.deliver(owned, message, now)]
 
     def on_registrations(self, event: PeerMessageArrived) -> list[Effect]:
-        """Process an owner's registrations, acknowledge them, and resolve conflicts of owners."""
-        effects: list[Effect] = [SendPeer(event.sender, RegistrationsAck(event.message.batch))]
+        """Process an owner's registrations and resolve conflicts of owners.
+
+        They are acknowledged if all were taken; else the owner sends them again, a few times.
+        """
+        effects: list[Effect] = []
         for registration in event.message.entries:
-            effects += self.process_registration(event.sender, registration, event.now)
-        return effects
+            effects += isolated(self.process_registration, event.sender, registration, event.now)
+        if any(type(effect) is Fault for effect in effects):
+            return effects
+        return [SendPeer(event.sender, RegistrationsAck(event.message.batch)), *effects]
 
     def precedes(self, owned: OwnedFlow, rival: Registration | Yield) -> bool:
         """Return whether an owned flow's registration takes precedence over another owner's."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,7 +12,7 @@
     Tick,
     UpstreamPacket,
 )
-from heatheryoke.core.messages import Pong, Registrations, StoreUpdate
+from heatheryoke.core.messages import Pong, Registrations, RegistrationsAck, StoreUpdate
 from heatheryoke.core.ownership import BATCH_NUMBERS
 from heatheryoke.core.records import Position, Subject
 from heatheryoke.core.routes import Route, Share
@@ -25,6 +25,7 @@
 from heatheryoke.platform.items import read_item
 from heatheryoke.platform.packets import ACK, SYN
 from heatheryoke.wire.peers import open_datagram, seal_datagram
+from tests.test_flow_owners import make_registration
 from tests.test_platform_items import CONFIGURATION, ENDPOINT, JSON, raw_item, replaced
 from tests.test_routing import document, flow_to
 from tests.test_routing import forward as routing_forward
@@ -169,6 +170,26 @@
         assert any(isinstance(message, Registrations) for message in sent)
 
 
+@pytest.mark.usefixtures("expects_faults")
+class TestRegistrations:
+    def test_one_that_raises_costs_none_of_its_batch(self):
+        """The home did not know the flows behind it, and the batch was sent again as it was."""
+        node, flows = make_node(), [flow_of(port) for port in (1, 2, 3)]
+        register = node.directory.register
+        node.directory.register = lambda entry, now: (
+            fail() if entry.flow == flows[1] else register(entry, now)
+        )
+        batch = Registrations(7, tuple(make_registration(flow) for flow in flows))
+        effects = node.reduce(PeerMessageArrived(NOW, PEER, 3, batch))
+        assert flows[0] in node.directory.entries and flows[2] in node.directory.entries
+        assert not of_kind(effects, SendPeer)
+
+        node.directory.register = register
+        effects = node.reduce(PeerMessageArrived(NOW, PEER, 3, batch))
+        assert flows[1] in node.directory.entries
+        assert SendPeer(PEER, RegistrationsAck(7)) in effects
+
+
 class TestBatchNumbers:
     def test_start_again_before_a_message_cannot_carry_them(self):
         """After the last number no registration could be sent any more."""
