--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -19,6 +19,7 @@
 )
 from heatheryoke.core.routed_topology import RoutedTopology
 from heatheryoke.core.routes import RouteTable
+from heatheryoke.core.service_names import ServiceNames
 from heatheryoke.core.store_return import (
     PERMIT_GRACE_S,
     RESTRICT_GRACE_S,
@@ -44,9 +45,6 @@
 # Time without a disturbance after which the view contains every live upstream: the grace period
 # plus three heartbeats of the slowest known platform (1.2 s each).
 SETTLED_S = 6.0
-# How long the upstreams of a service that a configuration drops are still hosts, since flows that
-# are open on them stay there: longer than any flow lives (60 s).
-DROPPED_SERVICE_S = 75.0
 # Flow limit of an upstream whose service is not in the configuration.
 DEFAULT_CONNECTIONS = 1_000
 
@@ -72,8 +70,7 @@
         self.configuration: ConfigurationRecord | None = None
         self.route_table: RouteTable | None = None
         self.limits: dict[str, ServiceRecord] = {}
-        self.service_names: frozenset[str] = frozenset()
-        self.dropped_services: dict[str, float] = {}
+        self.service_names = ServiceNames()
         self.position = Position()
         self.complete_to = Position()
         self.deferred = DeferredItems()
@@ -285,23 +282,12 @@
             return False
         if self.configuration is not None and record.version <= self.configuration.version:
             return False
-        former = self.configuration.service_names() if self.configuration else frozenset()
         route_table, named = RouteTable(record.version, record.routes), record.service_names()
         self.configuration, self.route_table = record, route_table
         self.limits = {row.name: row for row in record.services}
-        dropped = self.dropped_services | dict.fromkeys(former - named, now)
-        self.dropped_services = {name: at for name, at in dropped.items() if name not in named}
-        self.service_names = named | dropped.keys()
+        self.service_names.replace(named, now)
         return True
 
-    def forget_dropped_services(self, now: float) -> bool:
-        """Forget services dropped more than `DROPPED_SERVICE_S` ago; return whether any was."""
-        due = [name for name, at in self.dropped_services.items() if now - at >= DROPPED_SERVICE_S]
-        for name in due:
-            del self.dropped_services[name]
-        self.service_names -= set(due)
-        return bool(due)
-
     def configuration_item(self) -> StoreItem:
         """Return the store's item of the configuration in force."""
         position = self.positions[Subject.CONFIGURATION, ""]
@@ -319,11 +305,7 @@
         return True
 
     def newest_by_address(self) -> dict[Address, tuple[str, EndpointRecord]]:
-        """Return the newest incarnation at each address, with its id.
-
-        An entry of a service that no configuration names is no upstream to use, so that its host
-        must not become a home of flows either.
-        """
+        """Return the newest incarnation at each address, with its id, of the services in use."""
         newest: dict[Address, tuple[str, EndpointRecord]] = {}
         for name, record in (*self.expired.items(), *self.endpoints.items()):
             if record.service not in self.service_names:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -16,7 +16,7 @@
 from heatheryoke.core.ownership import BATCH_NUMBERS
 from heatheryoke.core.records import Position, Subject
 from heatheryoke.core.routes import Route, Share
-from heatheryoke.core.store_view import DROPPED_SERVICE_S
+from heatheryoke.core.service_names import DROPPED_SERVICE_S
 from heatheryoke.daemons import stream_application
 from heatheryoke.daemons.json_log import JsonLog
 from heatheryoke.daemons.stream_roles import StreamAgentApplication
