--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,7 +14,7 @@
 )
 from heatheryoke.core.messages import Pong, Registrations, RegistrationsAck, StoreUpdate
 from heatheryoke.core.ownership import BATCH_NUMBERS
-from heatheryoke.core.records import Position, Subject
+from heatheryoke.core.records import Position
 from heatheryoke.core.routes import Route, Share
 from heatheryoke.core.service_names import DROPPED_SERVICE_S
 from heatheryoke.daemons import stream_application
@@ -53,6 +53,25 @@
     return StreamAgentApplication(settings, path, JsonLog("a", descriptor=None))
 
 
+def fail(*arguments):
+    raise RuntimeError("unexpected")
+
+
+def change(node, *items, now=NOW):
+    """Let a node read changes of the store."""
+    end = Position(0, max(item.position.revision for item in items))
+    return node.reduce(StoreChanged(now, items, node.view.complete_to, end))
+
+
+def open_flow(node, flow):
+    """Let a node own an open flow."""
+    node.reduce(forward(flow, packet(flow, SYN), assigned=True))
+    accepted = packet(flow, SYN | ACK, acknowledged=2, from_upstream=True)
+    node.reduce(UpstreamPacket(NOW, flow, accepted))
+    node.reduce(forward(flow, packet(flow, ACK, 2, 2)))
+    assert flow in node.flows.flows
+
+
 class TestEffects:
     def test_an_effect_that_raises_abandons_no_other(self, tmp_path):
         """A message that could not be encoded took the other effects of its event with it."""
@@ -67,12 +86,9 @@
     ):
         """Load pattern: a change goes to hundreds of processes, and each try takes milliseconds."""
         calls = []
-
-        def fail(data):
-            calls.append(data)
-            raise ValueError("too long")
-
-        monkeypatch.setattr(stream_application, "split_message", fail)
+        monkeypatch.setattr(
+            stream_application, "split_message", lambda data: fail(calls.append(data))
+        )
         application = make_agent(tmp_path)
         message = Pong()
         application.node.reduce = lambda event: [SendPeer(PEER, message)] * 3
@@ -80,33 +96,13 @@
         assert len(calls) == 1 and application.record.counters == {"faults": 1}
 
 
-def fail(*arguments):
-    raise RuntimeError("unexpected")
-
-
-def change(node, *items, now=NOW):
-    """Let a node read changes of the store."""
-    end = Position(0, max(item.position.revision for item in items))
-    return node.reduce(StoreChanged(now, items, node.view.complete_to, end))
-
-
-def open_flow(node, flow):
-    """Let a node own an open flow."""
-    node.reduce(forward(flow, packet(flow, SYN), assigned=True))
-    accepted = packet(flow, SYN | ACK, acknowledged=2, from_upstream=True)
-    node.reduce(UpstreamPacket(NOW, flow, accepted))
-    node.reduce(forward(flow, packet(flow, ACK, 2, 2)))
-    assert flow in node.flows.flows
-
-
 @pytest.mark.usefixtures("expects_faults")
 class TestItems:
     def test_an_item_that_cannot_be_applied_costs_no_other(self):
         """The changes behind it in the same answer would never come into force."""
         node = make_node()
-        bad = endpoint(2)._replace(position=Position(0, 100), record=5)
-        bad = bad._replace(subject=Subject.CONFIGURATION, record=configuration(9, 100).record)
-        bad = bad._replace(record=bad.record._replace(routes=(None,)))
+        item = configuration(9, 100)
+        bad = item._replace(record=item.record._replace(routes=(None,)))
         effects = change(node, bad, withdrawal("north", 101))
         assert "north" in node.view.withdrawn and len(of_kind(effects, Fault)) == 1
         assert node.epoch == 3 and node.topology.route_table.version == 3
