A view reports items that cannot be applied as faults

`FailedItem` held what the effect `Fault` holds, and was turned into one by its only reader. `SettingsFile.was_read` is named for what it returns.

--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -7,7 +7,6 @@
     Count,
     DiscardQueued,
     Effect,
-    Fault,
     LogChange,
     PostponeStoreRead,
     ScheduleTick,
@@ -268,10 +267,7 @@
 
     def update_topology(self, changed: bool, now: float) -> list[Effect]:
         """Bring a changed view into force; one that could not be is tried again with the next."""
-        effects: list[Effect] = [
-            Fault(f"{failed.item.subject.value} {failed.item.name}", failed.error)
-            for failed in self.view.take_failed()
-        ]
+        effects: list[Effect] = [*self.view.take_faults()]
         self.is_outdated |= changed
         if not self.is_outdated:
             return effects
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -7,8 +7,8 @@
 """
 
 from math import inf
-from typing import NamedTuple
 
+from heatheryoke.core.effects import Fault
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
@@ -38,7 +38,7 @@
     Service,
 )
 
-__all__ = ["EXPIRY_GRACE_S", "FailedItem", "StoreView"]
+__all__ = ["EXPIRY_GRACE_S", "StoreView"]
 
 # Entries that expired during a store outage are back as soon as those that a return has lost.
 EXPIRY_GRACE_S = PERMIT_GRACE_S
@@ -49,13 +49,6 @@
 DEFAULT_CONNECTIONS = 1_000
 
 
-class FailedItem(NamedTuple):
-    """An item that could not be applied, and the exception that it raised."""
-
-    item: StoreItem
-    error: Exception
-
-
 class StoreView:
     """Store items by subject and name, and the topology derived from them."""
 
@@ -75,7 +68,7 @@
         self.complete_to = Position()
         self.deferred = DeferredItems()
         self.departures = Departures()
-        self.failed: list[FailedItem] = []
+        self.faults: list[Fault] = []
         self.returned_from_copy_at = -inf
         self.unavailable_since: float | None = None
         self.available_since = -inf
@@ -215,22 +208,22 @@
     def apply_item(self, item: StoreItem, now: float) -> bool:
         """Apply an item; return whether the topology changes.
 
-        One that raises an exception is kept in `failed`, leaves the position held of it as it is,
+        One that raises an exception is kept in `faults`, leaves the position held of it as it is,
         and costs no other item.
         """
         try:
             changed = APPLY_BY_SUBJECT[item.subject](self, item, now)
         except Exception as error:
-            self.failed.append(FailedItem(item, error))
+            self.faults.append(Fault(f"{item.subject.value} {item.name}", error))
             return False
         self.positions[item.subject, item.name] = max(self.position_of(item), item.position)
         self.position = max(self.position, item.position)
         return changed
 
-    def take_failed(self) -> list["FailedItem"]:
-        """Remove and return the items that could not be applied."""
-        failed, self.failed = self.failed, []
-        return failed
+    def take_faults(self) -> list[Fault]:
+        """Remove and return the faults of items that could not be applied."""
+        faults, self.faults = self.faults, []
+        return faults
 
     def apply_endpoint(self, item: StoreItem, now: float) -> bool:
         """Apply an upstream's entry; return whether it differs by more than a heartbeat."""
--- a/src/heatheryoke/daemons/settings_file.py
+++ b/src/heatheryoke/daemons/settings_file.py
@@ -52,6 +52,6 @@
         """Record that the settings that were read last are in use."""
         self.taken_ns = self.read_ns
 
-    def was_read(self) -> bool:
+    def is_unchanged(self) -> bool:
         """Return whether the file is unchanged since it was read last."""
         return self.read_ns == self.read_modified_ns()
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -226,7 +226,7 @@
         """Reload the settings if their file has changed; say once that it is refused."""
         if not self.file.has_changed(self.clock()):
             return
-        if not self.file.was_read() or self.file.read()[0] is not None:
+        if not self.file.is_unchanged() or self.file.read()[0] is not None:
             self.reload()
 
     # Events in
