--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -38,6 +38,7 @@
 from heatheryoke.core.routes import describe_changes
 from heatheryoke.core.store_updates import make_store_update
 from heatheryoke.core.store_view import StoreView
+from heatheryoke.core.view_age import ViewAge
 from heatheryoke.inventory.model import Address, Host
 
 __all__ = ["StoreNode"]
@@ -58,6 +59,7 @@
         self.changed_at = 0.0
         self.catch_up = CatchUp()
         self.view_source = ""
+        self.view_age = ViewAge()
         self.event_handlers |= {
             StoreRead: self.on_store_read,
             StoreChanged: self.on_store_changed,
@@ -286,11 +288,14 @@
         return effects + isolated(self.on_topology, now)
 
     def view_log_entry(self) -> LogChange:
-        """Return the log entry of a view: the hosts added, changed or removed."""
+        """Return the log entry of a view: the hosts added or changed, with entries, or removed."""
         previous = set(self.previous_topology.document.hosts) if self.previous_topology else set()
         current = set(self.current_topology.document.hosts)
         names = {host.name for host in current}
-        parts = [f"{host.name}={host.state.value}" for host in current - previous]
+        entries = self.view.entry_names() if current - previous else {}
+        parts = [
+            f"{host.name}={host.state.value} by {entries[host.name]}" for host in current - previous
+        ]
         parts += [f"{host.name}=removed" for host in previous - current if host.name not in names]
         return LogChange("view", str(self.view.position), ",".join(sorted(parts)))
 
@@ -320,7 +325,7 @@
     def on_tick(self, event: Tick) -> list[Effect]:
         """Do the periodic work that is due."""
         now = event.now
-        effects = isolated(self.update_view, now)
+        effects = isolated(self.update_view, now) + isolated(self.check_view_age, now)
         if self.current_topology is not None:
             effects += isolated(self.query_configuration, now)
             effects += self.advance(now)
@@ -334,6 +339,18 @@
         changed |= self.view.service_names.forget_dropped(now)
         return self.update_topology(changed, now)
 
+    def check_view_age(self, now: float) -> list[Effect]:
+        """Log that the view has become old, or is confirmed again."""
+        state = f"complete to {self.view.complete_to} by {self.view_source or 'nothing'}"
+        return self.view_age.check(self.view.last_answer_at, state, now)
+
+    def decision_facts(self, now: float) -> tuple[tuple[str, Any], ...]:
+        """Return the log facts that a decision was based on: the configuration and the view."""
+        age_s = round(now - self.view.last_answer_at, 3)
+        era, revision = self.view.position
+        view = ("store_era", era), ("view", revision), ("view_age_s", age_s)
+        return ("configuration", self.epoch), *view
+
     def former_topology(self, now: float, within_s: float) -> RoutedTopology | None:
         """Return the previous view if it was in force less than `within_s` ago, else None."""
         return self.previous_topology if now - self.changed_at < within_s else None
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -308,6 +308,10 @@
                 newest[record.address] = (name, record)
         return newest
 
+    def entry_names(self) -> dict[str, str]:
+        """Return the id of the entry that each upstream is known by, by the upstream's IP."""
+        return {address.ip: name for address, (name, _) in self.newest_by_address().items()}
+
     def limits_of(self, service: str) -> ServiceRecord | None:
         """Return the limits of a service's upstreams, None if the service is not configured."""
         return self.limits.get(service)
--- a/src/heatheryoke/core/stream_balancer.py
+++ b/src/heatheryoke/core/stream_balancer.py
@@ -102,7 +102,7 @@
 
     def refuse(self, flow: FlowKey) -> list[Effect]:
         """Reset a flow whose address has no route."""
-        facts = (("reason", "no route"), ("configuration", self.epoch))
+        facts = (("reason", "no route"), *self.decision_facts(self.last_event))
         return [
             Count("flows_refused"),
             LogFlow(flow, "refused", facts),
--- a/src/heatheryoke/core/stream_owner.py
+++ b/src/heatheryoke/core/stream_owner.py
@@ -223,13 +223,6 @@
         route = self.topology.route_table.find(flow) if self.topology else None
         return Measure(name, self.service, route.name if route else "", value)
 
-    def decision_facts(self, now: float) -> tuple[tuple[str, Any], ...]:
-        """Return the log facts that a decision was based on: the configuration and the view."""
-        age_s = round(now - self.view.last_answer_at, 3)
-        era, revision = self.view.position
-        view = ("store_era", era), ("view", revision), ("view_age_s", age_s)
-        return ("configuration", self.epoch), *view
-
     def bind_flow(self, owned: OwnedFlow, endpoint: Endpoint) -> list[Effect]:
         """Return no effects: the upstream identifies flows by their packets."""
         return []
--- a/src/heatheryoke/daemons/stream_application.py
+++ b/src/heatheryoke/daemons/stream_application.py
@@ -291,7 +291,9 @@
 
     def on_watch_fault(self, error: Exception) -> None:
         """Count and log an unexpected exception of the watch, which then reads all items again."""
-        self.record.record_fault("StoreWatch", error, rate_limited=True)
+        self.record.record_fault(
+            "StoreWatch", error, rate_limited=True, after=str(self.watch.position)
+        )
 
     def on_peer_datagrams(self, batch: list[Datagram]) -> None:
         """Process datagrams from other processes; count invalid ones."""
--- a/src/heatheryoke/daemons/stream_metrics.py
+++ b/src/heatheryoke/daemons/stream_metrics.py
@@ -55,6 +55,12 @@
         gauges = [
             ("epoch", "Configuration in force.", node.epoch),
             ("store_era", "Era of the store that the view is of.", node.view.complete_to.era),
+            (
+                "view_revision",
+                "Revision up to which the view has every change.",
+                node.view.complete_to.revision,
+            ),
+            ("view_age_seconds", "Time since the view was last confirmed.", self.view_age_s()),
             ("newest_peer_epoch", "Newest configuration of any peer.", node.catch_up.newest_epoch),
         ]
         if isinstance(node, StreamAgent):
@@ -70,6 +76,10 @@
             yield self.condition(node)
             yield self.recent_work(node)
 
+    def view_age_s(self) -> float:
+        """Return the age of the view at the latest event, infinite before the first view."""
+        return (self.node.last_event or 0.0) - self.node.view.last_answer_at
+
     @staticmethod
     def condition(node: StreamAgent) -> Metric:
         """Return the upstream's condition: the slowness of the one that it is in."""
--- a/src/heatheryoke/daemons/stream_record.py
+++ b/src/heatheryoke/daemons/stream_record.py
@@ -1,5 +1,7 @@
 """Counters, histograms and log lines of a byte-stream daemon."""
 
+from typing import Any
+
 from heatheryoke.core.effects import Count, LogChange, LogFlow, Measure
 from heatheryoke.core.flows import describe_flow
 from heatheryoke.core.histograms import WAIT_BUCKETS_S, Histogram
@@ -31,11 +33,15 @@
         self.add(effect.name, effect.amount)
 
     def record_fault(
-        self, kind: str, error: BaseException | None, rate_limited: bool = False
+        self,
+        kind: str,
+        error: BaseException | None,
+        rate_limited: bool = False,
+        **facts: Any,
     ) -> None:
-        """Count and log an unexpected exception."""
+        """Count and log an unexpected exception, with facts on what it was raised for."""
         self.add("faults")
-        self.log.write("fault", rate_limited=rate_limited, kind=kind, error=repr(error))
+        self.log.write("fault", rate_limited=rate_limited, kind=kind, error=repr(error), **facts)
 
     def measure(self, effect: Measure) -> None:
         """Record a value in the histogram of a service and route."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -751,12 +751,12 @@
     def test_lists_hosts_that_are_added_changed_and_removed(self):
         agent = make_agent()
         draining = endpoint(2, is_draining=True)._replace(position=Position(0, 95))
-        assert self.logged(agent, (draining,)) == "10.1.0.2=leaving"
+        assert self.logged(agent, (draining,)) == "10.1.0.2=leaving by i-2"
         gone = endpoint(2)._replace(position=Position(0, 96), present=False, record=None)
         assert self.logged(agent, (gone,)) == "10.1.0.2=removed"
         assert (
             self.logged(agent, (endpoint(2)._replace(position=Position(0, 97)),))
-            == "10.1.0.2=active"
+            == "10.1.0.2=active by i-2"
         )
 
 
