Sites choose free ports, so that the test of foreign entries judges again

TestForeignEntries of whole sites failed once beside other tests and was passed over. A site drew its ports from the seed alone and never looked whether they are free: that test and TestReturnedStore both have seed 7 and both bound 127.120.0.1:23315.

The seed still decides what happens, and which ports are tried first. A site holds its ports by a socket, and leaves out those that any program uses. The report of the failure that put the test on the list was lost, so that this cause is shown for the clash, not for that run. test_platform_client.py had a fixed port as well.

--- a/src/heatheryoke/standins/stream_site.py
+++ b/src/heatheryoke/standins/stream_site.py
@@ -18,6 +18,13 @@
 from heatheryoke.inventory.model import Address, Role
 from heatheryoke.platform.process import READY_PATH
 from heatheryoke.standins.configuration_history import ConfigurationHistory, Machine
+from heatheryoke.standins.site_ports import (
+    BLOCK_PORTS,
+    FIRST_PORT,
+    LAST_PORT,
+    PortReservation,
+    Ports,
+)
 from heatheryoke.standins.stream_caller import StreamCaller, StreamFlow
 from heatheryoke.standins.stream_store import StreamStore
 from heatheryoke.standins.stream_upstream import StreamUpstream
@@ -31,7 +38,6 @@
     "SERVICES",
     "SHEETS",
     "SMALL_SITE",
-    "Ports",
     "SiteSize",
     "StreamHost",
     "StreamSite",
@@ -51,19 +57,6 @@
 FLOW_TTL_S = 60.0
 # `idleTimeoutMs` of the configuration: a flow that was silent for longer may be discarded.
 IDLE_TIMEOUT_MS = 15_000
-FIRST_PORTS = 20_000
-LAST_PORTS = 30_000
-
-
-class Ports(NamedTuple):
-    """Ports of a site; every host uses the same numbers."""
-
-    callers: int
-    peers: int
-    status: int
-    answers: int
-    app: int
-    store: int
 
 
 class SiteSize(NamedTuple):
@@ -103,8 +96,8 @@
     def __init__(self, seed: int, size: SiteSize = SMALL_SITE):
         self.size = size
         self.random = random.Random(seed)
-        first = self.random.randrange(FIRST_PORTS, LAST_PORTS, 10)
-        self.ports = Ports(*range(first, first + len(Ports._fields)))
+        first = self.random.randrange(FIRST_PORT, LAST_PORT, BLOCK_PORTS)
+        self.reservation = PortReservation(Ports.from_first(first))
         self.store = StreamStore()
         self.hosts = {host.name: host for host in self.make_hosts()}
         # Names of all hosts by IP address, also of those that have left.
@@ -122,6 +115,18 @@
         self.first_start = True
         self.tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def ports(self) -> Ports:
+        """The ports of every host: those that the seed prefers until `reserve_ports`."""
+        return self.reservation.ports
+
+    def reserve_ports(self) -> None:
+        """Choose ports that are free, so that sites of any seeds run beside each other."""
+        ips = [host.ip for host in self.hosts.values()]
+        self.reservation.reserve(
+            [*ips, *(self.store_address(row).ip for row in self.hosts.values())]
+        )
+
     def make_hosts(self) -> list[StreamHost]:
         """Return the hosts, spread over the failure domains."""
         services = [FEEDS] * self.size.feed_agents + [SHEETS] * self.size.sheet_agents
@@ -159,6 +164,7 @@
 
     async def start(self) -> None:
         """Start the deployment and wait until all balancers are in rotation."""
+        self.reserve_ports()
         await self.store.start(*map(self.store_address, self.hosts.values()))
         self.publish()
         for host in self.hosts.values():
@@ -187,6 +193,7 @@
         for upstream in list(self.upstreams.values()):
             await upstream.close()
         await self.store.close()
+        self.reservation.release()
 
     async def join(self, role: Role, service: str | None = None) -> StreamHost:
         """Add a host with a new address, as yet without an upstream, and return it."""
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -10,8 +10,8 @@
 from heatheryoke.inventory.document import encode_document
 from heatheryoke.inventory.model import Address, Document, Host, Role
 from heatheryoke.standins.platform import Platform
+from heatheryoke.standins.site import free_address
 
-ADDRESS = Address("127.24.0.9", 8_911)
 # `inet_pton` raises ValueError for an address with a zero character.
 WITH_ZERO = Document(2, hosts=(Host("a", Role.AGENT, "north", Address("10.0.0.1\0", 1)),))
 DOCUMENTS = {
@@ -31,12 +31,12 @@
         monkeypatch.setattr(platform_client, "RETRY_S", 0.2)
 
         async def run():
-            platform, taken = Platform(), [Document(1)]
-            await platform.start(ADDRESS)
+            platform, taken, address = Platform(), [Document(1)], free_address()
+            await platform.start(address)
             platform.versions[2] = DOCUMENTS[name]
             platform.serve(2)
             client = PlatformClient(
-                f"http://{ADDRESS}",
+                f"http://{address}",
                 taken.append,
                 lambda: None,
                 lambda: taken[-1].version,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -98,6 +98,7 @@
     def test_a_process_without_a_host_is_killed_and_reported(self):
         async def play():
             soak = Soak(1)
+            soak.site.reserve_ports()
             host = soak.site.hosts["balancer-1"]
             await soak.site.start_process(host)
             await soak.site.start_process(host)
