An address and a start have one spelling; an entry must be JSON

What callers saw: new flows at an upstream that drains, beside entries of another writer. A port with a leading zero was read as the port itself, so that such an entry was the newer incarnation at the draining upstream's address, and did not drain. The same held for a start millions of years ahead, for constants that only Python's JSON has, and for UTF-16.

Ruled out by the lines of the flows: a watch that stands still (views 0.02 to 0.3 s old, no fault), a change passed over (view after the drain's revision), a long wait (0 s). The line of the view names the entry.

Now the text of an address must be the one that the address is written as, and a start lies within the range of a clock. Peers' records are checked alike.

--- a/src/heatheryoke/core/record_checks.py
+++ b/src/heatheryoke/core/record_checks.py
@@ -12,6 +12,7 @@
 __all__ = [
     "MAXIMUM_INT64",
     "MAXIMUM_SLOTS",
+    "MAXIMUM_UNIX_MS",
     "InvalidFieldError",
     "check_configuration",
     "check_endpoint",
@@ -30,6 +31,8 @@
 MAXIMUM_NAME_BYTES = 200
 # The largest number that a peer message can carry as an upstream's slots.
 MAXIMUM_SLOTS = 65_535
+# The last millisecond of the year 9999, beyond which no clock gives a Unix time.
+MAXIMUM_UNIX_MS = 253_402_300_799_999
 # One hour: the longest remaining cold start that is accepted.
 MAXIMUM_COLD_S = 3_600.0
 
@@ -86,7 +89,7 @@
     check_name(record.failure_domain)
     check_integer(record.slots, 1, MAXIMUM_SLOTS)
     check_number(record.cold_s, 0, MAXIMUM_COLD_S)
-    check_integer(record.born_ms)
+    check_integer(record.born_ms, 0, MAXIMUM_UNIX_MS)
     return record
 
 
--- a/src/heatheryoke/inventory/model.py
+++ b/src/heatheryoke/inventory/model.py
@@ -28,13 +28,16 @@
 
     @classmethod
     def parse(cls, text: str) -> "Address":
-        """Parse an address in the form `ip:port`; raise `ValueError` if it is malformed."""
+        """Parse an address in the form `ip:port`; raise `ValueError` if it is malformed.
+
+        Each address has one spelling, so that no other text stands for the same upstream.
+        """
         ip, separator, port = text.rpartition(":")
         if not separator:
             raise ValueError("must be ip:port")
         number = int(port) if port.isascii() and port.isdecimal() else 0
-        if not 0 < number < 65_536:
-            raise ValueError("port must be between 1 and 65535")
+        if not 0 < number < 65_536 or str(number) != port:
+            raise ValueError("port must be between 1 and 65535, without leading zeros")
         try:
             inet_pton(AF_INET, ip)
         except OSError:
--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -80,7 +80,7 @@
     Any writer may have written the value, so that no list of errors to expect would be complete.
     """
     try:
-        record, reasons = decode(json.loads(base64.b64decode(raw["value"], validate=True)))
+        record, reasons = decode(_read_json(base64.b64decode(raw["value"], validate=True)))
     except Exception as error:
         record, reasons = None, [repr(error)]
     if not reasons:
@@ -89,6 +89,15 @@
     return record, UnreadableItemError(reason[:MAXIMUM_REASON_LENGTH])
 
 
+def _read_json(data: bytes) -> Any:
+    """Return a JSON value; raise `ValueError` for what JSON lacks but Python's decoder accepts."""
+    return json.loads(data.decode(), parse_constant=_refuse_constant)
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is no JSON value")
+
+
 def _decode_rows(decode: Callable[[Any], Any], entries: Any) -> tuple[tuple[Any, ...], list[str]]:
     """Return the rows that can be decoded, and why others cannot.
 
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -8,9 +8,11 @@
 from hypothesis import strategies as st
 
 from heatheryoke.core.messages import StoreUpdate
+from heatheryoke.core.record_checks import MAXIMUM_UNIX_MS
 from heatheryoke.core.records import Position, Subject
 from heatheryoke.inventory.model import Address
 from heatheryoke.platform.items import UnreadableItemError, read_item
+from heatheryoke.standins.foreign_writer import FOREIGN_FORMS
 from heatheryoke.wire.peers import open_datagram, seal_datagram
 
 ENDPOINT = {
@@ -147,6 +149,39 @@
         read_item(raw_item("servers/i-1", value))
 
 
+class TestOtherSpellings:
+    """Such entries replaced the upstream at their address, whose drain was then unknown."""
+
+    # The view leaves out services that no configuration names.
+    FORMS = sorted(FOREIGN_FORMS.keys() - {"service that is not configured"})
+
+    @pytest.mark.parametrize("form", FORMS)
+    def test_a_malformed_entry_names_no_upstream(self, form):
+        entry = FOREIGN_FORMS[form](ENDPOINT)
+        decoded, problem = read_item(raw_item("servers/foreign", entry))
+        assert decoded.record is None and "servers/foreign" in str(problem)
+
+    @given(
+        st.lists(st.integers(0, 255), min_size=4, max_size=4),
+        st.integers(1, 65_535),
+        st.sampled_from(("0", "00", "+", " ", "0_")),
+        st.integers(0, 4),
+    )
+    def test_an_address_has_one_spelling(self, octets, port, padding, padded):
+        parts = [str(number) for number in (*octets, port)]
+        text = f"{'.'.join(parts[:4])}:{parts[4]}"
+        assert str(Address.parse(text)) == text
+        parts[padded] = padding + parts[padded]
+        with pytest.raises(ValueError):
+            Address.parse(f"{'.'.join(parts[:4])}:{parts[4]}")
+
+    def test_a_start_has_a_clocks_range(self):
+        last = ENDPOINT | {"born": MAXIMUM_UNIX_MS}
+        assert read_item(raw_item("servers/i-1", last))[0].record.born_ms == MAXIMUM_UNIX_MS
+        later = ENDPOINT | {"born": MAXIMUM_UNIX_MS + 1}
+        assert read_item(raw_item("servers/i-1", later))[0].record is None
+
+
 class TestMalformedItems:
     @pytest.mark.parametrize(
         "changes",
