An upstream whose entry is overwritten stays until it writes it again

What callers saw: open flows reset while another writer overwrote their upstreams' entries. An unreadable entry counted as removed, so the upstream left the view until its next heartbeat, and hosts ended searches for its flows with a reset.

The upstream goes on serving and writes again within a heartbeat. So it stays in the view for 3.6 s, the three heartbeats after which the platform takes a silent upstream for gone; a removed entry still counts at once, and so does a drain. An entry whose service no configuration names is treated alike. A heartbeat that ends it is sent to the other processes, which would drop the upstream otherwise.

The updates' property test draws unreadable entries as well. A fixture of test_streams.py for an entry that is gone said so by a missing record alone; it is now removed as the store says it, the check is the same.

--- a/src/heatheryoke/core/records.py
+++ b/src/heatheryoke/core/records.py
@@ -96,6 +96,8 @@
 class StoreItem(NamedTuple):
     """One item as of a position of the store; `record` is None if it is gone or unreadable.
 
+    An unreadable upstream is `present`, one whose entry was removed is not.
+
     A withdrawal has no record of its own: it is in force while `present`.
     """
 
--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -336,6 +336,7 @@
     def update_view(self, now: float) -> list[Effect]:
         """Apply what is due in the view."""
         changed = self.view.remove_expired(now) | self.view.apply_deferred(now)
+        changed |= self.view.remove_overwritten(now)
         changed |= self.view.service_names.forget_dropped(now)
         return self.update_topology(changed, now)
 
--- a/src/heatheryoke/core/store_updates.py
+++ b/src/heatheryoke/core/store_updates.py
@@ -47,6 +47,6 @@
     held = view.endpoints.get(item.name)
     if not isinstance(item.record, EndpointRecord):
         return held is not None
-    if held is None or item.record.cold_s > 0:
+    if held is None or item.record.cold_s > 0 or item.name in view.overwritten:
         return True
     return held != item.record
--- a/src/heatheryoke/core/store_view.py
+++ b/src/heatheryoke/core/store_view.py
@@ -9,6 +9,7 @@
 from math import inf
 
 from heatheryoke.core.effects import Fault
+from heatheryoke.core.overwritten_entries import OverwrittenEntries
 from heatheryoke.core.records import (
     ConfigurationRecord,
     EndpointRecord,
@@ -68,6 +69,7 @@
         self.complete_to = Position()
         self.deferred = DeferredItems()
         self.departures = Departures()
+        self.overwritten = OverwrittenEntries()
         self.faults: list[Fault] = []
         self.returned_from_copy_at = -inf
         self.unavailable_since: float | None = None
@@ -229,8 +231,12 @@
         """Apply an upstream's entry; return whether it differs by more than a heartbeat."""
         record = item.record
         held = self.endpoints.get(item.name)
+        if held is not None and self.is_overwritten(item, held):
+            self.overwritten.add(item.name, now)
+            return False
         if not isinstance(record, EndpointRecord):
             return held is not None and self.drop_endpoint(item.name, held, now)
+        self.overwritten.discard(item.name)
         self.departures.discard(item.name, record.born_ms)
         if held is not None and held.born_ms < record.born_ms:
             self.departures.add(item.name, held.born_ms, now)
@@ -240,9 +246,23 @@
             self.cold_until[item.name] = now + record.cold_s
         return held is None or held._replace(cold_s=0.0) != record._replace(cold_s=0.0)
 
+    def is_overwritten(self, item: StoreItem, held: EndpointRecord) -> bool:
+        """Return whether an upstream's entry has become one that names no upstream to use."""
+        if not isinstance(item.record, EndpointRecord):
+            return item.present
+        return item.record.service not in self.service_names and held.service in self.service_names
+
+    def remove_overwritten(self, now: float) -> bool:
+        """Remove upstreams whose entries nobody writes again; return whether there were any."""
+        changed = False
+        for name in self.overwritten.due(now):
+            changed |= self.drop_endpoint(name, self.endpoints[name], now)
+        return changed
+
     def drop_endpoint(self, name: str, held: EndpointRecord, now: float) -> bool:
         """Remove an upstream, unless its entry may have expired because of a store outage."""
         del self.endpoints[name]
+        self.overwritten.discard(name)
         if not held.is_draining:
             self.last_removed_at = now
         if not held.is_draining and self.may_have_expired(now):
--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -48,8 +48,8 @@
     """Return the decoded item or event of an era, and the error if it could not be decoded.
 
     The item is None for a key that is not used and for an unreadable configuration. An unreadable
-    upstream is returned without a record, as if its entry had been removed. Unreadable routes and
-    services of a configuration are left out, and the error names them.
+    upstream is returned without a record. Unreadable routes and services of a configuration are
+    left out, and the error names them.
     """
     try:
         key, position = check_name(raw["key"]), check_position(Position(era, raw["revision"]))
@@ -60,7 +60,7 @@
     if key.startswith(ENDPOINT_PREFIX):
         name = key.removeprefix(ENDPOINT_PREFIX)
         record, problem = (None, None) if is_deleted else _decode_value(_decode_endpoint, raw)
-        return StoreItem(Subject.ENDPOINT, name, position, record is not None, record), problem
+        return StoreItem(Subject.ENDPOINT, name, position, not is_deleted, record), problem
     if key.startswith(WITHDRAWAL_PREFIX):
         name = key.removeprefix(WITHDRAWAL_PREFIX)
         return StoreItem(Subject.WITHDRAWAL, name, position, not is_deleted, None), None
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -91,6 +91,7 @@
                         "draining",
                         "cold",
                         "removed",
+                        "unreadable",
                         "withdrawn",
                         "returned",
                         "configured",
@@ -104,6 +105,8 @@
                 item = endpoint(number, revision, cold_s=draw(st.sampled_from((0.5, 2.0))))
             elif kind == "removed":
                 item = item._replace(present=False, record=None)
+            elif kind == "unreadable":
+                item = item._replace(record=None)
             elif kind == "configured":
                 item = configuration(draw(st.integers(1, 9)), revision)
             elif kind in ("withdrawn", "returned"):
@@ -248,6 +251,7 @@
             listener.apply(arrived.items, now)
             listener.note_complete(arrived.position)
         assert listener.endpoints == reader.endpoints
+        assert listener.overwritten.since == reader.overwritten.since
         assert listener.configuration == reader.configuration
         assert listener.withdrawn == reader.withdrawn
         assert listener.cold_until == reader.cold_until
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -442,9 +442,8 @@
 
     def test_no_reset_after_an_upstream_vanished_or_the_store_was_lost(self):
         vanished, disconnected = make_agent(), make_agent()
-        vanished.reduce(
-            StoreChanged(NOW + 6.0, (endpoint(5)._replace(position=Position(0, 95), record=None),))
-        )
+        gone = endpoint(5)._replace(position=Position(0, 95), present=False, record=None)
+        vanished.reduce(StoreChanged(NOW + 6.0, (gone,)))
         disconnected.reduce(PlatformUnavailable(NOW + 6.0, "timeout"))
         for agent in (vanished, disconnected):
             assert not of_kind(self.ask_last_host(agent, NOW + 7.0), AnswerCaller)
