--- a/src/heatheryoke/standins/foreign_writer.py
+++ b/src/heatheryoke/standins/foreign_writer.py
@@ -8,6 +8,7 @@
 
 from heatheryoke.inventory.model import Address
 from heatheryoke.standins.stream_store import StreamStore
+from heatheryoke.standins.stream_upstream import StreamUpstream
 
 __all__ = ["FOREIGN_FORMS", "FOREIGN_NAME", "ForeignWriter"]
 
@@ -78,28 +79,28 @@
 class ForeignWriter:
     """Rewrites one entry in one malformed form after the other.
 
-    The entry is at the address of an upstream or where nothing listens, and has a later start than
-    any upstream, so that a form that is taken for an upstream replaces one.
+    The entry is at the address of an upstream, or for `None` where nothing listens. It has a later
+    start than the upstream, so that a form that is taken for an upstream replaces it.
     """
 
-    def __init__(self, store: StreamStore, addresses: Callable[[], list[Address]]):
+    def __init__(self, store: StreamStore, upstreams: Callable[[], list[StreamUpstream]]):
         self.store = store
-        self.addresses = addresses
+        self.upstreams = upstreams
         self.forms = cycle(FOREIGN_FORMS.values())
         self.written = 0
 
     def write(self) -> None:
-        """Write the next form, at each address in turn."""
-        targets = [*self.addresses(), NO_LISTENER]
-        target = targets[self.written // len(FOREIGN_FORMS) % len(targets)]
-        self.store.put(f"servers/{FOREIGN_NAME}", next(self.forms)(self.entry(target)))
+        """Write the next form, at the address of each upstream in turn and where none listens."""
+        targets = [*self.upstreams(), None]
+        entry = self.entry(targets[self.written % len(targets)])
+        self.store.put(f"servers/{FOREIGN_NAME}", next(self.forms)(entry))
         self.written += 1
 
-    def entry(self, address: Address) -> Entry:
-        """Return an entry as the upstream at an address could write it after a later start."""
-        entries = [self.store.read(key) for key in self.store.items if key.startswith("servers/i-")]
-        entry = next((row for row in entries if row["address"] == str(address)), entries[0])
-        return entry | {"address": str(address), "state": "ready", "born": entry["born"] + 1}
+    def entry(self, target: StreamUpstream | None) -> Entry:
+        """Return an entry as an upstream could write it after a later start."""
+        upstream = target or self.upstreams()[0]
+        changes = {"state": "ready", "born": upstream.born_ms + 1}
+        return upstream.entry() | changes | ({} if target else {"address": str(NO_LISTENER)})
 
     async def run(self, is_over: Callable[[], bool]) -> None:
         """Rewrite the entry until the end."""
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -1,5 +1,7 @@
 """Soak test: callers use a deployment of real processes under overlapping, seeded random faults.
 
+All the while an operator changes routes, and another writer leaves malformed entries in the store.
+
 The rules are checked by what callers and upstreams observe. The platform's rules bind in time only
 while the system is calm: the store and all processes have been undisturbed for `CONTACT_S`.
 """
@@ -17,6 +19,7 @@
 from heatheryoke.core.flows import FlowKey, describe_flow, flow_tuple
 from heatheryoke.inventory.model import Address
 from heatheryoke.standins.contact import CONTACT_S, CORE, Contact
+from heatheryoke.standins.foreign_writer import ForeignWriter
 from heatheryoke.standins.process_site import ProcessStreamSite
 from heatheryoke.standins.route_checker import RouteChecker
 from heatheryoke.standins.soak_faults import FAULTS, FaultTarget
@@ -76,6 +79,7 @@
         self.violations: list[str] = []
         self.site.on_system_reset = self.check_reset
         self.contact = Contact(self.now)
+        self.foreign_writer = ForeignWriter(self.site.store, self.foreign_targets)
         self.unplanned_faults = 0
         self.calm_since = inf
         self.reserved: set[str] = set()
@@ -96,6 +100,11 @@
         """Record a rule violation with the time since the start."""
         self.violations.append(f"{self.now() - self.began:.1f} s: {problem}")
 
+    def foreign_targets(self) -> list[StreamUpstream]:
+        """Return the upstreams that malformed entries pretend to be: those that drain, or all."""
+        upstreams = list(self.site.upstreams.values())
+        return [row for row in upstreams if row.state == "draining"] or upstreams
+
     # Callers
 
     async def request_repeatedly(self, caller: StreamCaller) -> None:
@@ -197,8 +206,12 @@
             (SHEET_CALLERS, self.fetch_repeatedly, self.site.route),
         ]
         await self.checker.start()
-        checks = (self.checker.run, self.checker.change_repeatedly)
-        tasks = [loop.create_task(check(lambda: self.is_over)) for check in checks]
+        background = (
+            self.checker.run,
+            self.checker.change_repeatedly,
+            self.foreign_writer.run,
+        )
+        tasks = [loop.create_task(run(lambda: self.is_over)) for run in background]
         for count, activity, way in activities:
             for _ in range(count):
                 tasks.append(loop.create_task(activity(await self.site.add_caller(way))))
--- a/src/heatheryoke/standins/stream_store.py
+++ b/src/heatheryoke/standins/stream_store.py
@@ -86,10 +86,6 @@
         self.items[key] = item
         self.append_event(item)
 
-    def read(self, key: str) -> Any:
-        """Return the value of an item that was written as JSON."""
-        return json.loads(base64.b64decode(self.items[key]["value"]))
-
     def delete(self, key: str) -> None:
         """Remove an item."""
         if self.items.pop(key, None) is not None:
--- a/src/heatheryoke/standins/stream_upstream.py
+++ b/src/heatheryoke/standins/stream_upstream.py
@@ -4,7 +4,7 @@
 import random
 import time
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from heatheryoke.core.flows import FlowKey, describe_flow, flow_tuple
 from heatheryoke.daemons.datagrams import Datagram, DatagramSocket
@@ -118,20 +118,21 @@
     def write_entry(self) -> None:
         """Write this upstream's entry to the store."""
         self.sequence += 1
-        self.store.put(
-            f"servers/{self.name}",
-            {
-                "service": self.service,
-                "address": str(self.app),
-                "zone": self.domain,
-                "version": "v1",
-                "concurrency": self.slots,
-                "state": self.state,
-                "warmupLeftMs": 0,
-                "sequence": self.sequence,
-                "born": self.born_ms,
-            },
-        )
+        self.store.put(f"servers/{self.name}", self.entry())
+
+    def entry(self) -> dict[str, Any]:
+        """Return this upstream's entry."""
+        return {
+            "service": self.service,
+            "address": str(self.app),
+            "zone": self.domain,
+            "version": "v1",
+            "concurrency": self.slots,
+            "state": self.state,
+            "warmupLeftMs": 0,
+            "sequence": self.sequence,
+            "born": self.born_ms,
+        }
 
     def on_datagrams(self, batch: list[Datagram]) -> None:
         """Process packets from the agent, and count altered ones."""
--- a/tests/test_foreign_writer.py
+++ b/tests/test_foreign_writer.py
@@ -26,7 +26,7 @@
         """Return the flows that the draining upstream got too late, and what was served last."""
         site = self.site
         leaving = site.upstreams["agent-1"]
-        writer = ForeignWriter(site.store, lambda: [leaving.app])
+        writer = ForeignWriter(site.store, lambda: [leaving])
         tasks = [asyncio.create_task(row) for row in (writer.run(self.has_ended), self.open_all())]
         await asyncio.sleep(3.0)
         leaving.set_state("draining")
--- a/tests/test_stream_site.py
+++ b/tests/test_stream_site.py
@@ -1,8 +1,6 @@
 """End-to-end tests of byte streams on loopback, with parts replaced while callers use them."""
 
 import asyncio
-import base64
-import json
 
 from heatheryoke.standins.stream_caller import Outcome
 from heatheryoke.standins.stream_demo import StreamDemo
@@ -77,8 +75,7 @@
 
 def foreign_entries(site):
     """Return entries of another writer, none of which names an upstream to use."""
-    upstream = site.upstreams["agent-1"]
-    entry = json.loads(base64.b64decode(site.store.items[f"servers/{upstream.name}"]["value"]))
+    entry = site.upstreams["agent-1"].entry()
     later = {"born": entry["born"] + 1}
     return {
         "long-number": entry | {"born": 10**400},
