Lines of flows name the revision that the view is complete to

A configuration that a peer supplies has a later revision than the drains that a view lacks, on a store that states no era, so that the line of a flow could show the revision of a change that the view did not have.

--- a/src/heatheryoke/core/store_node.py
+++ b/src/heatheryoke/core/store_node.py
@@ -348,7 +348,7 @@
     def decision_facts(self, now: float) -> tuple[tuple[str, Any], ...]:
         """Return the log facts that a decision was based on: the configuration and the view."""
         age_s = round(now - self.view.last_answer_at, 3)
-        era, revision = self.view.position
+        era, revision = self.view.complete_to
         view = ("store_era", era), ("view", revision), ("view_age_s", age_s)
         return ("configuration", self.epoch), *view
 
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -34,6 +34,11 @@
 EXAMPLES, STEPS = 60, 40
 
 
+def is_unreadable(item):
+    """Return whether another writer has overwritten an upstream's entry."""
+    return item.subject is Subject.ENDPOINT and item.present and item.record is None
+
+
 class Store:
     """The store's items and its history, with the copies that it can return from."""
 
@@ -43,6 +48,7 @@
         self.events = []
         self.copies = []
         self.lost = {}
+        self.written = {}
 
     def write(self, item):
         """Write an item, or remove it if it is not present."""
@@ -52,19 +58,25 @@
         key = item.subject, item.name
         self.events.append(item)
         self.lost.pop(key, None)
+        if item.record is not None:
+            self.written[key] = item.record
         if item.present:
             self.items[key] = item
         else:
             self.items.pop(key, None)
 
     def records(self):
-        """Return the records of all upstreams by name."""
+        """Return the records of all upstreams by name, without unreadable ones."""
         return {
             name: item.record
             for (subject, name), item in self.items.items()
-            if subject is Subject.ENDPOINT
+            if subject is Subject.ENDPOINT and item.record is not None
         }
 
+    def overwritten(self):
+        """Return the names of the unreadable entries."""
+        return {name for (subject, name), item in self.items.items() if is_unreadable(item)}
+
     def return_from_copy(self, back):
         """Return from the copy taken so many changes ago; remember what it lacks."""
         removed = {(event.subject, event.name) for event in self.events} - self.items.keys()
@@ -166,10 +178,22 @@
     @rule(number=UPSTREAMS, is_gone=st.booleans())
     def stop_upstream(self, number, is_gone):
         held = self.store.items.get((Subject.ENDPOINT, f"i-{number}"))
-        if held is not None:
+        if held is not None and (is_gone or held.record is not None):
             record = None if is_gone else held.record._replace(is_draining=True)
             self.store.write(held._replace(present=not is_gone, record=record))
 
+    @rule(number=UPSTREAMS)
+    def overwrite(self, number):
+        held = self.store.items.get((Subject.ENDPOINT, f"i-{number}"))
+        if held is not None:
+            self.store.write(held._replace(record=None))
+
+    @rule(number=UPSTREAMS)
+    def renew_entry(self, number):
+        key = Subject.ENDPOINT, f"i-{number}"
+        if key in self.store.items:
+            self.store.write(self.store.items[key]._replace(record=self.store.written[key]))
+
     @rule(present=st.booleans())
     def withdraw(self, present):
         if present != (WITHDRAWAL in self.store.items):
@@ -258,7 +282,9 @@
             view = node.view
             if view.complete_to == stored.position:
                 upstreams = self.without_deferred(view, view.endpoints)
+                kept = {name: upstreams.pop(name) for name in view.overwritten.since}
                 assert upstreams == self.without_deferred(view, stored.records())
+                assert kept.keys() <= stored.overwritten()
 
     @staticmethod
     def without_deferred(view, records):
@@ -288,6 +314,7 @@
             assert ("north" in node.view.withdrawn) == (WITHDRAWAL in stored)
             assert node.epoch == stored[CONFIGURATION].record.version
             assert not node.view.expired and not node.view.deferred
+            assert not node.view.overwritten.since
 
 
 class TestModel:
--- a/tests/test_view_age.py
+++ b/tests/test_view_age.py
@@ -52,6 +52,14 @@
         assert node.epoch == 2
         assert "old" in dict(logged(node.reduce(Tick(LATER))))
 
+    def test_show_the_revision_that_they_are_complete_to(self):
+        """A configuration of a peer is later than the drains that the view lacks."""
+        node = agent(1, 10)
+        reply = ConfigurationReply(configuration(2, 9))
+        node.reduce(PeerMessageArrived(NOW + 2.9, PEER, 2, reply))
+        facts = dict(node.decision_facts(NOW + 2.9))
+        assert (facts["configuration"], facts["view"], facts["view_age_s"]) == (2, 5, 2.9)
+
     def test_include_one_that_a_process_never_had(self):
         node = agent(1, 10)
         node.view.last_answer_at = float("-inf")
