Differential test of the store's entries against a plain reading of the page

1,000 examples of one changed field: an entry is taken if and only if each field is as the page has it.

--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -2,9 +2,10 @@
 
 import base64
 import json
+import re
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from heatheryoke.core.messages import StoreUpdate
@@ -64,6 +65,8 @@
     max_leaves=8,
 )
 
+MISSING = object()
+
 
 def raw_item(key, value, revision=412):
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -182,6 +185,58 @@
         assert read_item(raw_item("servers/i-1", later))[0].record is None
 
 
+class TestAgainstThePage:
+    """Guards against an entry that the decoder takes and the platform's page does not describe."""
+
+    NAME = re.compile(r"[ -~]{1,200}")
+    ADDRESS = re.compile(r"(0|[1-9]\d{0,2})(\.(0|[1-9]\d{0,2})){3}:[1-9]\d{0,4}", re.ASCII)
+    EDGES = st.sampled_from(
+        (-1, 0, 1, 65_535, 65_536, 3_600_000, 3_600_001, 2**53, MAXIMUM_UNIX_MS + 1, 2**63, 10**400)
+    ) | st.sampled_from((0.5, -0.0, 1e300, True, None, "", " ", "1", "draining", [], {}))
+    ADDRESSES = st.builds(
+        "{}{}.{}.{}.{}:{}{}".format,
+        st.sampled_from(("", "", "0")),
+        *(st.integers(0, 270) for _ in range(4)),
+        st.sampled_from(("", "", "0")),
+        st.integers(0, 70_000),
+    )
+    FIELDS = st.sampled_from(sorted(ENDPOINT))
+
+    def is_described(self, entry):
+        """Check an entry one field after the other, as the page names them."""
+
+        def is_number(field, limit, kinds=(int,)):
+            return type(entry.get(field)) in kinds and 0 <= entry[field] <= limit
+
+        def is_text(field, pattern):
+            text = entry.get(field)
+            return isinstance(text, str) and pattern.fullmatch(text) is not None
+
+        return (
+            all(is_text(field, self.NAME) for field in ("service", "zone", "version"))
+            and is_text("address", self.ADDRESS)
+            and all(int(part) < 256 for part in entry["address"].partition(":")[0].split("."))
+            and int(entry["address"].partition(":")[2]) < 65_536
+            and is_number("concurrency", 65_535)
+            and entry.get("state") in ("ready", "draining")
+            and is_number("warmupLeftMs", 3_600_000, (int, float))
+            and is_number("sequence", 2**63 - 1)
+            and is_number("born", MAXIMUM_UNIX_MS)
+        )
+
+    @given(
+        st.tuples(FIELDS, EDGES)
+        | st.tuples(st.just("address"), ADDRESSES)
+        | st.tuples(FIELDS, st.just(MISSING))
+    )
+    @settings(max_examples=1_000)
+    def test_an_entry_is_taken_if_it_is_described(self, change):
+        entry = ENDPOINT | dict([change])
+        entry = {field: value for field, value in entry.items() if value is not MISSING}
+        decoded, _ = read_item(raw_item("servers/i-1", entry))
+        assert (decoded.record is not None) == self.is_described(entry)
+
+
 class TestMalformedItems:
     @pytest.mark.parametrize(
         "changes",
