An overwritten upstream stays for 2.4 s, less than a drain may take

With 3.6 s, an upstream whose report of a drain was overwritten before any process had read it could get new flows after the 3 s of `drainMs`.

--- a/src/heatheryoke/core/overwritten_entries.py
+++ b/src/heatheryoke/core/overwritten_entries.py
@@ -1,14 +1,14 @@
 """Upstreams whose entries another writer has overwritten with something that names no upstream.
 
 Such an upstream goes on serving, and writes its entry again with its next heartbeat. So it stays in
-the view until the platform would take it for gone, instead of leaving and returning each time.
+the view for a time, instead of leaving and returning each time.
 """
 
 __all__ = ["OVERWRITTEN_GRACE_S", "OverwrittenEntries"]
 
-# Three heartbeats of the slowest known platform (1.2 s each), after which the platform removes the
-# entry of a silent upstream.
-OVERWRITTEN_GRACE_S = 3.6
+# Two heartbeats of the slowest known platform (1.2 s each). The report of a drain may have been
+# overwritten before it was read, so this is less than the time to take a drain in (3 s).
+OVERWRITTEN_GRACE_S = 2.4
 
 
 class OverwrittenEntries:
--- a/tests/test_overwritten_entries.py
+++ b/tests/test_overwritten_entries.py
@@ -7,6 +7,7 @@
 from heatheryoke.core.events import PeerMessageArrived, StoreChanged, StoreRead, Tick
 from heatheryoke.core.overwritten_entries import OVERWRITTEN_GRACE_S
 from heatheryoke.core.records import Position
+from heatheryoke.daemons.store_watch import MINIMUM_CALL_INTERVAL_S
 from heatheryoke.inventory.model import HostState
 from heatheryoke.standins.stream_caller import Outcome
 from heatheryoke.standins.stream_site import FEEDS, StreamSite
@@ -113,3 +114,9 @@
                 await site.close()
 
         assert set(asyncio.run(play())) == {Outcome.SERVED}
+
+
+class TestGrace:
+    def test_is_longer_than_a_heartbeat_and_shorter_than_a_drain_may_take(self):
+        """Guards against flows at an upstream whose report of a drain was overwritten."""
+        assert 1.2 < OVERWRITTEN_GRACE_S < 3.0 - MINIMUM_CALL_INTERVAL_S
