--- a/src/heatheryoke/standins/foreign_writer.py
+++ b/src/heatheryoke/standins/foreign_writer.py
@@ -12,8 +12,7 @@
 
 __all__ = ["FOREIGN_FORMS", "FOREIGN_NAME", "ForeignWriter"]
 
-# Less than a reader's shortest pause between two calls and a waiting watch, so that a process reads
-# several forms in a row.
+# Less than the time that a reader's call waits (0.9 s), so that no form outlasts a call.
 REWRITE_INTERVAL_S = 0.35
 NO_LISTENER = Address("127.9.9.9", 9_999)
 FOREIGN_NAME = "foreign"
@@ -79,8 +78,8 @@
 class ForeignWriter:
     """Rewrites one entry in one malformed form after the other.
 
-    The entry is at the address of an upstream, or for `None` where nothing listens. It has a later
-    start than the upstream, so that a form that is taken for an upstream replaces it.
+    The entry is at the address of an upstream, or where nothing listens. It has a later start than
+    the upstream, so that a form that is taken for an upstream replaces it.
     """
 
     def __init__(self, store: StreamStore, upstreams: Callable[[], list[StreamUpstream]]):
@@ -97,7 +96,10 @@
         self.written += 1
 
     def entry(self, target: StreamUpstream | None) -> Entry:
-        """Return an entry as an upstream could write it after a later start."""
+        """Return an entry as an upstream could write it after a later start.
+
+        Without an upstream it is one where nothing listens.
+        """
         upstream = target or self.upstreams()[0]
         changes = {"state": "ready", "born": upstream.born_ms + 1}
         return upstream.entry() | changes | ({} if target else {"address": str(NO_LISTENER)})
