Entries are read by one strict decoder; the soak reports misled views

A process's log tells when a malformed entry is an upstream in its view, also where no flow shows it.

--- a/src/heatheryoke/platform/items.py
+++ b/src/heatheryoke/platform/items.py
@@ -40,6 +40,14 @@
 ROUTE_KINDS = IDEMPOTENT_KINDS | {"non_idempotent"}
 
 
+def _refuse_constant(name: str) -> None:
+    """Raise `ValueError` for a constant that JSON lacks but Python's decoder accepts."""
+    raise ValueError(f"{name} is no JSON value")
+
+
+STRICT_JSON = json.JSONDecoder(parse_constant=_refuse_constant)
+
+
 class UnreadableItemError(ValueError):
     """An item is malformed, or its value does not have the format that its key requires."""
 
@@ -80,7 +88,8 @@
     Any writer may have written the value, so that no list of errors to expect would be complete.
     """
     try:
-        record, reasons = decode(_read_json(base64.b64decode(raw["value"], validate=True)))
+        text = base64.b64decode(raw["value"], validate=True).decode()
+        record, reasons = decode(STRICT_JSON.decode(text))
     except Exception as error:
         record, reasons = None, [repr(error)]
     if not reasons:
@@ -89,15 +98,6 @@
     return record, UnreadableItemError(reason[:MAXIMUM_REASON_LENGTH])
 
 
-def _read_json(data: bytes) -> Any:
-    """Return a JSON value; raise `ValueError` for what JSON lacks but Python's decoder accepts."""
-    return json.loads(data.decode(), parse_constant=_refuse_constant)
-
-
-def _refuse_constant(name: str) -> None:
-    raise ValueError(f"{name} is no JSON value")
-
-
 def _decode_rows(decode: Callable[[Any], Any], entries: Any) -> tuple[tuple[Any, ...], list[str]]:
     """Return the rows that can be decoded, and why others cannot.
 
--- a/src/heatheryoke/standins/process_site.py
+++ b/src/heatheryoke/standins/process_site.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from heatheryoke.daemons.stream_settings import STREAM_SETTINGS
+from heatheryoke.standins.foreign_writer import FOREIGN_NAME
 from heatheryoke.standins.settings_text import settings_text
 from heatheryoke.standins.stream_site import SMALL_SITE, SiteSize, StreamHost, StreamSite
 
@@ -35,6 +36,7 @@
         self.readers: dict[str, asyncio.Task[None]] = {}
         self.logs: dict[str, deque[str]] = {}
         self.faults: list[str] = []
+        self.misled_views: list[str] = []
         self.unexpected_exits: list[str] = []
         self.leftovers: list[str] = []
 
@@ -65,7 +67,10 @@
         self.readers[host.name] = reader
 
     async def read_log(self, name: str, process: asyncio.subprocess.Process) -> None:
-        """Keep the latest log lines of a process; record its faults and an unexpected exit."""
+        """Keep the latest log lines of a process; record its faults and an unexpected exit.
+
+        Record views in which a malformed entry is an upstream.
+        """
         while line := await process.stdout.readline():
             text = line.decode(errors="replace").rstrip()
             self.logs[name].append(text)
@@ -74,6 +79,8 @@
                 self.started.add(name)
             elif event == "fault":
                 self.faults.append(f"{name}: {text}")
+            elif event == "change" and f"by {FOREIGN_NAME}" in text:
+                self.misled_views.append(f"{name}: {text}")
         code = await process.wait()
         if self.processes.get(name) is process:
             self.unexpected_exits.append(f"{name} exited unexpectedly with code {code}")
--- a/src/heatheryoke/standins/soak.py
+++ b/src/heatheryoke/standins/soak.py
@@ -305,8 +305,8 @@
                 )
 
     def check_processes(self) -> None:
-        """Record faults of processes, unexpected exits, and altered packets."""
-        self.violations += self.site.faults + self.site.unexpected_exits
+        """Record faults of processes, unexpected exits, misled views, and altered packets."""
+        self.violations += self.site.faults + self.site.unexpected_exits + self.site.misled_views
         altered = sum(upstream.altered for upstream in self.site.all_upstreams)
         altered += sum(caller.altered for caller in self.site.callers)
         if altered:
--- a/tests/test_foreign_writer.py
+++ b/tests/test_foreign_writer.py
@@ -1,10 +1,9 @@
 """Real processes beside another writer that leaves malformed entries in the store."""
 
 import asyncio
-import json
 
 from heatheryoke.inventory.model import Address
-from heatheryoke.standins.foreign_writer import FOREIGN_NAME, ForeignWriter
+from heatheryoke.standins.foreign_writer import ForeignWriter
 from heatheryoke.standins.process_site import ProcessStreamSite
 from heatheryoke.standins.stream_caller import Outcome
 from heatheryoke.standins.stream_site import CHANGE_WITHIN_S, FEEDS
@@ -47,12 +46,6 @@
     def has_ended(self):
         return self.is_over
 
-    def views_misled(self):
-        """Return the log lines of views in which the foreign entry is an upstream."""
-        lines = [json.loads(line) for row in self.site.logs.values() for line in row]
-        views = [line for line in lines if line.get("subject") == "view"]
-        return [line for line in views if f"by {FOREIGN_NAME}" in line["reason"]]
-
     async def open_all(self):
         """Open flows at a steady rate until the end."""
         caller, requests = await self.site.add_caller(), []
@@ -77,8 +70,8 @@
             site = ProcessStreamSite(seed=11)
             await site.start()
             try:
-                day = ForeignEntryDay(site)
-                return await day.play(), day.views_misled(), site.faults, site.unexpected_exits
+                result = await ForeignEntryDay(site).play()
+                return result, site.misled_views, site.faults, site.unexpected_exits
             finally:
                 await site.close()
 
